--- /dev/null
+++ b/crates/adapter/src/translate.rs
@@ -0,0 +1,262 @@
+//! Between the wire's words and the module's.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use damsonbeam::interface::*;
+
+use crate::wire::{self, Disposition, Form, Happened, Output};
+
+fn ns(t: u64) -> Duration {
+    Duration::from_nanos(t)
+}
+
+fn to_ns(t: Duration) -> u64 {
+    u64::try_from(t.as_nanos()).unwrap_or(u64::MAX)
+}
+
+pub fn entry(row: &wire::Row) -> Result<Entry, String> {
+    Ok(Entry {
+        tgt: TgtId(row.backend),
+        health: match row.health.as_str() {
+            "U" => Health::Up,
+            "L" => Health::Draining,
+            "D" => Health::Gone,
+            // An unlisted state is no promise that it takes work.
+            _ => Health::Draining,
+        },
+        since: ns(row.online_since_ns),
+        kind: row.family_type,
+        zone: row.failure_domain,
+        cell: row.unit_group,
+        weight: row.capacity_hint,
+    })
+}
+
+pub fn settings(f: &wire::Facts) -> Result<Settings, String> {
+    let operation = |c: &wire::Class| {
+        let repeat = match c.idempotency.as_str() {
+            "retryable" => Repeat::Idempotent,
+            "dedup" => {
+                let group = match c.group.as_str() {
+                    "all" => Group::All,
+                    "zone" => Group::Zone,
+                    _ => Group::Cell,
+                };
+                Repeat::Tokened { group, window: ns(c.window_ns) }
+            }
+            // What is not known to be repeatable is not repeated.
+            _ => Repeat::NonIdempotent,
+        };
+        Operation {
+            repeat,
+            latency_objective: ns(c.slo_ns),
+            integration_timeout: ns(c.deadline_ns),
+            billed_value: c.importance,
+            late_value: c.late_worth,
+            streamed: c.streamed,
+        }
+    };
+    let plan = |p: &wire::Plan| Plan {
+        rate: p.quota_rate,
+        burst: p.store_size,
+        max_out: p.max_out,
+        price: p.value_factor,
+        over_value: p.excess_worth,
+        over_cost: p.overrun_cost,
+        ceiling_rate: p.cap_rate,
+        ceiling_burst: p.never_over_depth,
+        ceiling_slack: p.hard_slack,
+    };
+    if f.request_classes.is_empty() {
+        return Err("the settings name no request-classes".into());
+    }
+    let (limits, domain, rules) = (&f.ceilings, &f.domain, &f.rules);
+    Ok(Settings {
+        gateways: f.siblings,
+        me: GatewayId(f.self_index),
+        zone: f.locality,
+        tick: ns(f.tick_ns),
+        operations: f.request_classes.iter().map(operation).collect(),
+        plans: f.plans.iter().map(plan).collect(),
+        limits: Limits {
+            cancel: limits.cancel,
+            parallel: limits.parallel_tries,
+            probes: limits.probes,
+            tell: limits.may_tell,
+            retry_after: limits.retry_after.then(|| ns(limits.max_retry_after_ns)),
+            tries: limits.try_limit,
+            open: limits.max_open,
+            connect_timeout: ns(limits.connect_timeout_ns),
+        },
+        counter: domain
+            .has_counter
+            .then(|| Counter { timeout: ns(domain.counter_timeout_ns), price: domain.call_price }),
+        settles: domain.settles,
+        most_units: domain.most_units,
+        meter_period: ns(domain.meter_ns),
+        discovery: if f.discovery == "subscribe" { Discovery::Subscribed } else { Discovery::Pushed },
+        ask_within: ns(rules.ask_within_ns),
+        drain_grace: ns(rules.drain_grace_ns),
+        answer_slack: ns(rules.answer_slack_ns),
+        cold_share: rules.cold_share,
+        cold_for: ns(rules.cold_ns),
+        overload_factor: rules.overload_factor,
+        overload_for: ns(rules.tip_after_ns),
+    })
+}
+
+fn outcome(d: Disposition) -> Outcome {
+    match d {
+        Disposition::Ok => Outcome::Ok,
+        Disposition::QueueFull => Outcome::Full,
+        Disposition::TimedOut => Outcome::TimedOut,
+        Disposition::ConnectError => Outcome::ConnectFailed,
+        Disposition::ResetByPeer => Outcome::Reset,
+        Disposition::Canceled => Outcome::Canceled,
+        Disposition::Ignored => Outcome::Ignored,
+        // An outcome of a kind not yet known may have run.
+        Disposition::Failed | Disposition::Unknown => Outcome::Failed,
+    }
+}
+
+/// The instance concerned and what happened to it; none for what this build does not know.
+pub fn event(h: Happened, lists: &BTreeMap<u32, Arc<[Entry]>>) -> Result<Option<(u32, Event)>, String> {
+    Ok(Some(match h {
+        Happened::RosterChange { gateway_id, page, form } => {
+            let form = match form {
+                Form::Update => ListForm::Update,
+                Form::Replace => ListForm::Replace,
+                Form::Restored => ListForm::Restored,
+                Form::Unavailable => ListForm::Unavailable,
+                Form::Unknown => return Ok(None),
+            };
+            let entries = if form == ListForm::Unavailable {
+                Arc::from([])
+            } else {
+                let page = page.ok_or("roster-change lacks `page`")?;
+                let named = lists.get(&page);
+                named.ok_or_else(|| format!("roster-change names unknown page {page}"))?.clone()
+            };
+            (gateway_id, Event::Targets { form, entries })
+        }
+        Happened::Request {
+            gateway_id,
+            msg_id,
+            valid_until_ns,
+            cls,
+            mutates,
+            repeat,
+            first_door,
+            account,
+            units,
+            width,
+            package,
+        } => (
+            gateway_id,
+            Event::Invocation {
+                inv: InvId(msg_id),
+                deadline: ns(valid_until_ns),
+                op: OpId(cls),
+                plan: PlanId(package),
+                customer: CustomerId(account.into()),
+                units,
+                first_gateway: GatewayId(first_door),
+                spread: width,
+                write: mutates,
+                repeat,
+            },
+        ),
+        Happened::FirstByte { gateway_id, msg_id, r#try, backend, wait_time_ns } => (
+            gateway_id,
+            Event::FirstByte {
+                inv: InvId(msg_id),
+                no: DeliveryNo(r#try),
+                tgt: TgtId(backend),
+                latency: ns(wait_time_ns),
+            },
+        ),
+        Happened::Response {
+            gateway_id,
+            msg_id,
+            r#try,
+            backend,
+            disposition,
+            wait_time_ns,
+            done_flag,
+            seen_use,
+            cost,
+            server_stats,
+        } => (
+            gateway_id,
+            Event::Outcome {
+                inv: InvId(msg_id),
+                no: DeliveryNo(r#try),
+                tgt: TgtId(backend),
+                outcome: outcome(disposition),
+                latency: ns(wait_time_ns),
+                closed: done_flag,
+                used: seen_use.checked_sub(1).map(|percent| percent as f64 / 100.0),
+                true_units: (cost > 0.0).then_some(cost),
+                report: server_stats,
+            },
+        ),
+        Happened::Left { gateway_id, msg_id } => (gateway_id, Event::Left { inv: InvId(msg_id) }),
+        Happened::DeadlineHit { gateway_id, cookie } => (gateway_id, Event::Timer { token: cookie }),
+        Happened::Checked { gateway_id, backend, wait_time_ns, disposition, server_stats } => (
+            gateway_id,
+            Event::Probed {
+                tgt: TgtId(backend),
+                outcome: outcome(disposition),
+                latency: ns(wait_time_ns),
+                report: server_stats,
+            },
+        ),
+        Happened::PeerData { gateway_id, by, raw } => {
+            let bytes = hex::decode(&raw).map_err(|e| format!("peer-data's `raw`: {e}"))?;
+            (gateway_id, Event::Peer { from: GatewayId(by), bytes })
+        }
+        Happened::Total { gateway_id, wait_time_ns, sum, disposition, tally_id } => (
+            gateway_id,
+            Event::Total {
+                name: tally_id,
+                outcome: outcome(disposition),
+                total: sum,
+                latency: ns(wait_time_ns),
+            },
+        ),
+        Happened::Begin { .. }
+        | Happened::Shutdown { .. }
+        | Happened::Register { .. }
+        | Happened::Unknown => return Ok(None),
+    }))
+}
+
+pub fn output(gateway_id: u32, action: Action) -> Output {
+    match action {
+        Action::Deliver { inv, tgt, timeout } => {
+            Output::Place { gateway_id, msg_id: inv.0, backend: tgt.0, timeout_ns: timeout.map(to_ns) }
+        }
+        Action::Cancel { inv, no } => Output::Abandon { gateway_id, msg_id: inv.0, r#try: no.0 },
+        Action::Throttle { inv, retry_after } => {
+            Output::PushBack { gateway_id, msg_id: inv.0, stay_away_ns: retry_after.map(to_ns) }
+        }
+        Action::Error { inv } => Output::GiveUp { gateway_id, msg_id: inv.0 },
+        Action::Timer { after, token } => {
+            Output::Schedule { gateway_id, wait_ns: to_ns(after), cookie: token }
+        }
+        Action::Count { name, add, keep } => {
+            Output::Count { gateway_id, tally_id: name, step: add, lifetime_ns: to_ns(keep) }
+        }
+        Action::Probe { tgt } => Output::HealthCheck { gateway_id, backend: tgt.0 },
+        Action::CloseIdle { tgt } => Output::LetGo { gateway_id, backend: tgt.0 },
+        Action::Tell { to, bytes } => {
+            let target = to.map_or(-1, |g| i64::from(g.0));
+            Output::Signal { gateway_id, target, raw: hex::encode(bytes) }
+        }
+        Action::Watch { on } => Output::Observe { gateway_id, on },
+        Action::Fetch => Output::Resolve { gateway_id },
+        Action::Log { text } => Output::Remark { gateway_id, what: text },
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,256 @@
+//! What a front end and the decision module say to each other: types only, no decisions.
+//!
+//! All times are spans since the start of the clock that the events carry; gateways share it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+/// An invocation, as named by the front end; never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct InvId(pub u64);
+/// A backend; the same at every gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TgtId(pub u32);
+/// A customer's name.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CustomerId(pub Arc<str>);
+/// Position of an operation in [`Settings::operations`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct OpId(pub usize);
+/// Position of a plan in [`Settings::plans`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PlanId(pub usize);
+/// Number of a delivery within its invocation, from 0 in the order sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct DeliveryNo(pub u32);
+/// A gateway's number among its siblings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct GatewayId(pub u32);
+
+/// Whether an operation may take effect again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    Idempotent,
+    /// Repeats are dropped within `group`, for `window` from the first send that may have run.
+    Tokened {
+        group: Group,
+        window: Duration,
+    },
+    NonIdempotent,
+}
+
+/// The backends that share their memory of repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Operation {
+    pub repeat: Repeat,
+    /// An answer within this time earns its full billed value.
+    pub latency_objective: Duration,
+    /// What a client waits over all its tries.
+    pub integration_timeout: Duration,
+    pub billed_value: f64,
+    /// Part of the billed value for an answer after the objective.
+    pub late_value: f64,
+    pub streamed: bool,
+}
+
+/// A plan's quotas for each customer, over all gateways together. 0 = no such limit.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Plan {
+    pub rate: f64,
+    pub burst: f64,
+    pub max_out: f64,
+    pub price: f64,
+    pub over_value: f64,
+    pub over_cost: f64,
+    pub ceiling_rate: f64,
+    pub ceiling_burst: f64,
+    pub ceiling_slack: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    pub cancel: bool,
+    pub parallel: bool,
+    pub probes: bool,
+    pub tell: bool,
+    /// The longest wait a client follows; none: no such advice may be given.
+    pub retry_after: Option<Duration>,
+    pub tries: u32,
+    pub open: usize,
+    pub connect_timeout: Duration,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Counter {
+    pub timeout: Duration,
+    pub price: f64,
+}
+
+/// How the list of backends reaches a gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Discovery {
+    Pushed,
+    Subscribed,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    pub gateways: u32,
+    pub me: GatewayId,
+    pub zone: u32,
+    pub tick: Duration,
+    pub operations: Vec<Operation>,
+    pub plans: Vec<Plan>,
+    pub limits: Limits,
+    pub counter: Option<Counter>,
+    /// Units of an invocation are a guess; the true ones come with the answer.
+    pub settles: bool,
+    pub most_units: f64,
+    pub meter_period: Duration,
+    pub discovery: Discovery,
+    pub ask_within: Duration,
+    pub drain_grace: Duration,
+    pub answer_slack: Duration,
+    pub cold_share: f64,
+    pub cold_for: Duration,
+    pub overload_factor: f64,
+    pub overload_for: Duration,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    Up,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub tgt: TgtId,
+    pub health: Health,
+    /// When its process last started; zero: long ago.
+    pub since: Duration,
+    pub kind: u32,
+    pub zone: u32,
+    pub cell: u32,
+    pub weight: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListForm {
+    /// Only what changed.
+    Update,
+    /// The whole list.
+    Replace,
+    /// The whole list as this gateway last had it; it can be old.
+    Restored,
+    /// A call to discovery failed; the old list stays.
+    Unavailable,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Ok,
+    Failed,
+    Full,
+    TimedOut,
+    ConnectFailed,
+    Reset,
+    Canceled,
+    Ignored,
+}
+
+impl Outcome {
+    /// The far side proves that nothing was done.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Self::Full | Self::ConnectFailed | Self::Ignored)
+    }
+}
+
+/// Values of a load report by the names that [`Settings`]' source gave; `None` where absent.
+pub type Report = Vec<f64>;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    Targets {
+        form: ListForm,
+        entries: Arc<[Entry]>,
+    },
+    Invocation {
+        inv: InvId,
+        /// When this try's client stops waiting.
+        deadline: Duration,
+        op: OpId,
+        plan: PlanId,
+        customer: CustomerId,
+        units: f64,
+        first_gateway: GatewayId,
+        spread: u32,
+        write: bool,
+        repeat: bool,
+    },
+    FirstByte {
+        inv: InvId,
+        no: DeliveryNo,
+        tgt: TgtId,
+        latency: Duration,
+    },
+    Outcome {
+        inv: InvId,
+        no: DeliveryNo,
+        tgt: TgtId,
+        outcome: Outcome,
+        latency: Duration,
+        /// The invocation is over; otherwise its final answer is still owed.
+        closed: bool,
+        /// The customer's use of its rate over all gateways in the last metered period.
+        used: Option<f64>,
+        true_units: Option<f64>,
+        report: Report,
+    },
+    Left {
+        inv: InvId,
+    },
+    Timer {
+        token: String,
+    },
+    Probed {
+        tgt: TgtId,
+        outcome: Outcome,
+        latency: Duration,
+        report: Report,
+    },
+    Peer {
+        from: GatewayId,
+        bytes: Vec<u8>,
+    },
+    Total {
+        name: String,
+        outcome: Outcome,
+        total: f64,
+        latency: Duration,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Deliver { inv: InvId, tgt: TgtId, timeout: Option<Duration> },
+    Cancel { inv: InvId, no: DeliveryNo },
+    Throttle { inv: InvId, retry_after: Option<Duration> },
+    Error { inv: InvId },
+    Timer { after: Duration, token: String },
+    Count { name: String, add: f64, keep: Duration },
+    Probe { tgt: TgtId },
+    CloseIdle { tgt: TgtId },
+    Tell { to: Option<GatewayId>, bytes: Vec<u8> },
+    Watch { on: bool },
+    Fetch,
+    Log { text: String },
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,10 @@
+//! damsonbeam: the decisions of a gateway that meters many customers' use of one shared service.
+//!
+//! A front end creates one [`Rules`] for each gateway and hands it every [`interface::Event`] in
+//! order of arrival; what comes back is the list of [`interface::Action`]s to carry out at once.
+//! The library does no I/O, reads no clock and keeps no global state.
+
+pub mod interface;
+pub mod rules;
+
+pub use rules::Rules;
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,1049 @@
+//! Every decision of a gateway, in one place.
+//!
+//! A front end makes one [`Rules`] for each gateway life and calls [`Rules::on`] with each event in
+//! order; the actions pushed to `out` are to be carried out at once, in order. The types of both stand
+//! in `interface.rs`. Time is the events' clock, chance comes from the seed: same events, same actions.
+//!
+//! The design (docs/design.md): an invocation adds its units to its customer's count of the running
+//! slot on the counter, the slots inside the sliding window are summed, and it is throttled if the sum
+//! passes the burst, its add then undone. Beside the design stand six mechanisms:
+//!  1. doubt: how often the counter is asked follows how it answers; else a verdict from own knowledge
+//!  2. repair: own admitted units are a lower bound; what the counter lacks goes in with the next add
+//!  3. places: work waits in line here; each backend's places follow what it answers
+//!  4. early end: what can't be answered within its latency objective is given up at once
+//!  5. another go: further deliveries and second copies, only where rules, time and load leave room
+//!  6. warm-up: a fresh backend is passed over by chance and holds to this gateway's part of a budget
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::interface::*;
+
+/// Slots in a window: finer follows the window closer, but costs a read for each at each gateway.
+const SLOTS: u64 = 4;
+/// Slots of 60 s at most are kept by the counter; names outlive the window by this many slots.
+const KEEP: u64 = 3;
+const KEEP_MOST: Duration = Duration::from_secs(60);
+/// A finished slot's total is final this many counter time-outs after its end: add, verdict, undo.
+const FINAL_AFTER: u32 = 3;
+/// Part of the burst up to which guesses stand in for unread slots: half leaves room to be wrong twofold.
+const UNREAD_UP_TO: f64 = 0.5;
+/// A customer's usual slot fades by this at each newer one: some ten slots, a few windows.
+const USUAL_FADES: f64 = 0.9;
+/// Weight (in bursts) of an even spread against what was seen of a customer's share: one window's worth.
+const EVEN_WEIGHT: f64 = 1.0;
+/// Part of invocations that still ask a dead counter: a few a second find its return, none wait long.
+const ASK_LEAST: f64 = 0.05;
+/// Asking falls by this at a failed call and grows by that at a good one: out in ten calls, back in as many.
+const ASK_FALLS: f64 = 0.7;
+const ASK_GROWS: f64 = 1.35;
+/// Reads are left out below this chance of asking: a crowded counter's calls are for adds.
+const ASK_READS: f64 = 0.5;
+/// Places of a backend not known yet, and the most: a few keep any small server busy, none is flooded.
+const PLACES_START: f64 = 4.0;
+const PLACES_MOST: f64 = 64.0;
+/// An answer later than this many usual ones takes a place away, by the factor below.
+const SLOW_ANSWER: f64 = 4.0;
+const PLACES_FALL: f64 = 0.8;
+/// Part of the latency objective that an answer may take while places still grow: line and rest need theirs.
+const GROW_WITHIN: f64 = 0.33;
+/// A silent backend is left alone after this many usual answer times, but for its own line moving.
+const SILENT: f64 = 6.0;
+/// A backend that refuses connections is tried again after this, doubled at each failure up to the most.
+const BACK_FIRST: Duration = Duration::from_millis(100);
+const BACK_MOST: Duration = Duration::from_secs(2);
+/// Second copies as a part of first deliveries: enough for one bad backend in ten, little fuel in overload.
+const COPIES: f64 = 0.1;
+const COPIES_SAVED: f64 = 10.0;
+/// A delivery is given this many times the slow answers' time before another is made.
+const PATIENCE: f64 = 2.0;
+/// Part of the budget for a cold backend that this gateway's part may use: work sizes vary by chance.
+const COLD_PART: f64 = 0.5;
+/// Span over which the flow to warm backends is taken: long against chance, short against load's swing.
+const FLOW_SPAN: Duration = Duration::from_secs(4);
+/// While work waits in line, it is looked through at least this often: blocked backends come free by time.
+const LOOK: Duration = Duration::from_millis(20);
+/// A subscription that failed is asked for again after this: discovery is one service for all.
+const WATCH_AGAIN: Duration = Duration::from_millis(500);
+/// Samples at which a histogram is halved: a backend's follows its last dozen answers, the fleet's hundreds.
+const TGT_SAMPLES: f64 = 16.0;
+const FLEET_SAMPLES: f64 = 400.0;
+/// Lowest bin of a histogram in seconds; each next bin is half an octave up, the last takes the rest.
+const BIN_FIRST: f64 = 0.004;
+const BINS: usize = 24;
+/// Sums of fractions are equal within this many units.
+const EPS: f64 = 1e-3;
+
+#[derive(Clone)]
+struct Hist([f64; BINS]);
+
+impl Hist {
+    fn note(&mut self, t: Duration, most: f64) {
+        let bin = (2.0 * (t.as_secs_f64() / BIN_FIRST).max(1.0).log2()) as usize;
+        self.0[bin.min(BINS - 1)] += 1.0;
+        if self.0.iter().sum::<f64>() > most {
+            self.0.iter_mut().for_each(|b| *b /= 2.0);
+        }
+    }
+    fn middle(bin: usize) -> f64 {
+        BIN_FIRST * 2f64.powf((bin as f64 + 0.5) / 2.0)
+    }
+    fn quantile(&self, q: f64) -> Option<f64> {
+        let mut left = q * self.0.iter().sum::<f64>();
+        let found = self.0.iter().position(|b| {
+            left -= b;
+            left < 0.0
+        })?;
+        Some(Self::middle(found))
+    }
+    fn mean(&self) -> Option<f64> {
+        let n: f64 = self.0.iter().sum();
+        let sum: f64 = self.0.iter().enumerate().map(|(i, b)| b * Self::middle(i)).sum();
+        (n > 0.0).then(|| sum / n)
+    }
+}
+
+/// One slot of a customer's window, as far as known here.
+#[derive(Clone, Default)]
+struct Slot {
+    /// Units admitted here.
+    own: f64,
+    /// Own units that the counter is believed to hold, sent and confirmed.
+    put: f64,
+    confirmed: f64,
+    /// The last total told, and `own` at that time.
+    total: f64,
+    own_then: f64,
+    known: bool,
+    last: bool,
+    reading: bool,
+}
+
+impl Slot {
+    /// Units of all gateways: what was told, and what came here since, seen as its share of the whole.
+    fn all(&self, share: f64) -> f64 {
+        if self.total + EPS < self.own_then {
+            return self.own / share; // The counter lost it: a flush must not hand out a burst again.
+        }
+        self.total + (self.own - self.own_then).max(0.0) / if self.last { 1.0 } else { share }
+    }
+}
+
+struct Customer {
+    plan: PlanId,
+    spread: f64,
+    slots: BTreeMap<u64, Slot>,
+    /// Units over the refill at the start of the oldest slot kept (an upper bound).
+    debt: f64,
+    oldest: u64,
+    /// A full slot of late, by all gateways; none before the first total.
+    usual: Option<f64>,
+    own_seen: f64,
+    all_seen: f64,
+    /// Invocations whose add is answered and that wait for reads.
+    waiting: Vec<InvId>,
+    held: u32,
+    out: u32,
+    ceiling: f64,
+    ceiling_at: Duration,
+    used_at: Duration,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    Asked,
+    InLine,
+    Sent,
+}
+
+struct Delivery {
+    tgt: TgtId,
+    zone: u32,
+    cell: u32,
+    sent: Duration,
+    out: bool,
+    /// Known not to have run.
+    idle: bool,
+}
+
+struct Inv {
+    op: OpId,
+    plan: PlanId,
+    customer: CustomerId,
+    units: f64,
+    arrived: Duration,
+    deadline: Duration,
+    stage: Stage,
+    slot: u64,
+    added: bool,
+    admitted: bool,
+    started: bool,
+    deliveries: Vec<Delivery>,
+}
+
+struct Tgt {
+    entry: Entry,
+    out: BTreeSet<(Duration, InvId, u32)>,
+    places: f64,
+    lat: Hist,
+    blocked: Duration,
+    fails: u32,
+    heard: Duration,
+    cold_sent: VecDeque<(Duration, f64)>,
+}
+
+struct Call {
+    customer: CustomerId,
+    slot: u64,
+    add: f64,
+    asks: Option<InvId>,
+    read: bool,
+    at: Duration,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Final(InvId),
+    Objective(InvId),
+    Copy(InvId),
+    Look,
+    Watch,
+}
+
+pub struct Rules {
+    set: Settings,
+    rng: ChaCha8Rng,
+    began: Duration,
+    invs: BTreeMap<InvId, Inv>,
+    customers: BTreeMap<CustomerId, Customer>,
+    tgts: BTreeMap<TgtId, Tgt>,
+    line: BTreeSet<(Duration, InvId)>,
+    calls: BTreeMap<String, VecDeque<Call>>,
+    due: BTreeSet<(Duration, Due)>,
+    armed: Option<Duration>,
+    looks: bool,
+    ask: f64,
+    lat: Hist,
+    copies: f64,
+    flow: (Duration, f64, f64),
+    swept: Duration,
+}
+
+impl Rules {
+    pub fn new(seed: u64, set: Settings, now: Duration) -> Self {
+        Rules {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            began: now,
+            invs: BTreeMap::new(),
+            customers: BTreeMap::new(),
+            tgts: BTreeMap::new(),
+            line: BTreeSet::new(),
+            calls: BTreeMap::new(),
+            due: BTreeSet::new(),
+            armed: None,
+            looks: false,
+            ask: 1.0,
+            lat: Hist([0.0; BINS]),
+            copies: 0.0,
+            flow: (now, 0.0, 0.0),
+            swept: now,
+            set,
+        }
+    }
+
+    /// The one entry point: what happened in, what is to be done out.
+    pub fn on(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Targets { form, entries } => self.listed(now, form, &entries, out),
+            Event::Invocation { inv, deadline, op, plan, customer, units, first_gateway, spread, .. } => {
+                let here = Inv {
+                    op,
+                    plan,
+                    customer,
+                    units,
+                    arrived: now,
+                    deadline,
+                    stage: Stage::Asked,
+                    slot: 0,
+                    added: false,
+                    admitted: false,
+                    started: false,
+                    deliveries: Vec::new(),
+                };
+                self.arrived(now, inv, here, first_gateway, spread, out);
+            }
+            Event::FirstByte { inv, no, .. } => self.started(inv, no, out),
+            Event::Outcome { inv, no, tgt, outcome, latency, closed, true_units, .. } => {
+                self.ended(now, inv, no, tgt, outcome, latency, closed, true_units, out)
+            }
+            Event::Left { inv } => self.forget(now, inv, out),
+            Event::Timer { .. } => {}
+            Event::Total { name, outcome, total, .. } => self.told(now, name, outcome, total, out),
+            Event::Probed { .. } | Event::Peer { .. } => {}
+        }
+        self.run_due(now, out);
+        self.pump(now, out);
+        self.sweep(now);
+        if !self.line.is_empty() && !self.looks {
+            self.looks = true;
+            self.due.insert((now + LOOK, Due::Look));
+        }
+        if let Some(&(at, _)) = self.due.first()
+            && self.armed.is_none_or(|a| at < a || a <= now)
+        {
+            self.armed = Some(at);
+            let after = at.saturating_sub(now).max(Duration::from_nanos(1));
+            out.push(Action::Timer { after, token: "due".into() });
+        }
+    }
+
+    // ---- The design: the shared count of each customer's window.
+
+    fn slot_len(&self, plan: PlanId) -> f64 {
+        let p = &self.set.plans[plan.0];
+        (p.burst / p.rate / SLOTS as f64).max(self.set.tick.as_secs_f64())
+    }
+
+    fn arrived(
+        &mut self,
+        now: Duration,
+        id: InvId,
+        mut inv: Inv,
+        first: GatewayId,
+        spread: u32,
+        out: &mut Vec<Action>,
+    ) {
+        let n = self.set.gateways.max(1);
+        let spread = if spread == 0 { n } else { spread.min(n) };
+        let inside = (self.set.me.0 + n - first.0 % n) % n < spread;
+        let margin = self.set.tick.max(Duration::from_millis(1));
+        self.due.insert((inv.deadline.saturating_sub(margin), Due::Final(id)));
+        let limited = self.set.plans.get(inv.plan.0).is_some_and(|p| p.rate > 0.0 && p.burst > 0.0);
+        if let Some(p) = self.set.plans.get(inv.plan.0) {
+            let (rate, depth) = (p.ceiling_rate / spread as f64, p.ceiling_burst / spread as f64);
+            let (slot, began) = (limited.then(|| self.slot_of(now, inv.plan)).unwrap_or(0), self.began);
+            let burst = p.burst;
+            let c = self.customers.entry(inv.customer.clone()).or_insert_with(|| Customer {
+                plan: inv.plan,
+                spread: spread as f64,
+                slots: BTreeMap::new(),
+                // Nothing is known of what was used before the window: assume all of it.
+                debt: burst,
+                oldest: slot.saturating_sub(SLOTS),
+                usual: None,
+                own_seen: 0.0,
+                all_seen: 0.0,
+                waiting: Vec::new(),
+                held: 0,
+                out: 0,
+                // A restart must not hand out the ceiling's store again: a life earns its part from nothing.
+                ceiling: (rate * (now - began).as_secs_f64()).min(depth),
+                ceiling_at: now,
+                used_at: now,
+            });
+            c.spread = spread as f64;
+            if !inside && p.ceiling_rate > 0.0 {
+                c.ceiling = 0.0; // No part of the ceiling is this gateway's.
+            }
+            c.used_at = now;
+            c.held += 1;
+        }
+        if !limited {
+            inv.admitted = true;
+            self.invs.insert(id, inv);
+            return self.enqueue(now, id, out);
+        }
+        let (customer, units, plan) = (inv.customer.clone(), inv.units, inv.plan);
+        inv.slot = self.slot_of(now, plan);
+        let slot = inv.slot;
+        self.invs.insert(id, inv);
+        self.roll(now, &customer);
+        // Known to be full already: refused early, without a call that would have to be undone.
+        if self.sum(now, &customer, false, None) + units > self.set.plans[plan.0].burst + EPS {
+            return self.throttle(now, id, out);
+        }
+        if self.set.counter.is_none() || self.rng.random::<f64>() >= self.ask {
+            return self.verdict(now, id, false, out);
+        }
+        let c = self.customers.get_mut(&customer).expect("just made");
+        let s = c.slots.entry(slot).or_default();
+        // Repair: units admitted here that the counter lacks (not asked, or lost by it) go in as well.
+        let add = units + (s.own - s.put).max(0.0);
+        s.put += add;
+        self.invs.get_mut(&id).expect("just made").added = true;
+        self.call(now, customer, slot, add, Some(id), false, out);
+    }
+
+    fn slot_of(&self, now: Duration, plan: PlanId) -> u64 {
+        (now.as_secs_f64() / self.slot_len(plan)) as u64
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn call(
+        &mut self,
+        now: Duration,
+        customer: CustomerId,
+        slot: u64,
+        add: f64,
+        asks: Option<InvId>,
+        read: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let plan = self.customers[&customer].plan;
+        let mut text: String = customer.0.to_string();
+        if text.len() > 40 {
+            let hash = text
+                .bytes()
+                .fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
+            text = format!("{hash:x}");
+        }
+        let name = format!("{slot}/{text}");
+        let keep = Duration::from_secs_f64(self.slot_len(plan) * (SLOTS + KEEP) as f64).min(KEEP_MOST);
+        self.calls.entry(name.clone()).or_default().push_back(Call {
+            customer,
+            slot,
+            add,
+            asks,
+            read,
+            at: now,
+        });
+        out.push(Action::Count { name, add, keep });
+    }
+
+    /// Ages slots out of the window into the debt that they leave.
+    fn roll(&mut self, now: Duration, customer: &CustomerId) {
+        let Some(c) = self.customers.get(customer) else { return };
+        let (plan, len, slot) = (c.plan, self.slot_len(c.plan), self.slot_of(now, c.plan));
+        let p = &self.set.plans[plan.0];
+        let (burst, refill) = (p.burst, p.rate * len);
+        let c = self.customers.get_mut(customer).expect("seen above");
+        let share = c.share(burst);
+        while c.oldest + SLOTS < slot {
+            let idle = c.slots.is_empty() && c.debt <= 0.0;
+            let gone = c.slots.remove(&c.oldest);
+            // A slot never seen here may hold others' use: no credit beyond a usual one is drawn from it.
+            let used = gone.map_or(0.0, |s| s.all(share)).max(c.usual.unwrap_or(0.0).min(refill));
+            c.debt = (c.debt - refill).max(0.0) + used;
+            c.debt = c.debt.min(2.0 * burst);
+            c.oldest += 1;
+            if idle {
+                c.oldest = slot.saturating_sub(SLOTS);
+            }
+        }
+    }
+
+    /// Units held by the customer's window. Without `guess` only what is known, else also what is likely.
+    /// A burst that came before the window leaves room as the store refills: the lower of both holds.
+    fn sum(&self, now: Duration, customer: &CustomerId, guess: bool, told: Option<f64>) -> f64 {
+        let c = &self.customers[customer];
+        let p = &self.set.plans[c.plan.0];
+        let len = self.slot_len(c.plan);
+        let at = now.as_secs_f64() / len;
+        let (slot, inside) = (at as u64, at.fract());
+        let share = if guess { c.share(p.burst) } else { 1.0 };
+        let (mut window, mut debt) = (0.0, c.debt);
+        for k in c.oldest..=slot {
+            let mut used = c.slots.get(&k).map_or(0.0, |s| s.all(share));
+            if let Some(t) = told.filter(|_| k == slot) {
+                used = t;
+            } else if guess && self.ask >= ASK_READS && k < slot && !c.slots.get(&k).is_some_and(|s| s.last) {
+                used = used.max(c.usual.unwrap_or(p.burst));
+            }
+            // The oldest slot slides out as the running one fills.
+            window += if k + SLOTS == slot { used * (1.0 - inside) } else { used };
+            let run = if k == slot { inside } else { 1.0 };
+            debt = (debt - p.rate * len * run).max(0.0) + used;
+        }
+        if c.oldest + SLOTS > slot + 1 { window } else { window.min(debt) }
+    }
+
+    fn told(&mut self, now: Duration, name: String, outcome: Outcome, total: f64, out: &mut Vec<Action>) {
+        let Some(queue) = self.calls.get_mut(&name) else { return };
+        let Some(call) = queue.pop_front() else { return };
+        if queue.is_empty() {
+            self.calls.remove(&name);
+        }
+        let ok = outcome == Outcome::Ok;
+        self.ask = if ok { (self.ask * ASK_GROWS).min(1.0) } else { (self.ask * ASK_FALLS).max(ASK_LEAST) };
+        let Some(c) = self.customers.get(&call.customer) else { return };
+        let (len, burst) = (self.slot_len(c.plan), self.set.plans[c.plan.0].burst);
+        let grace = self.set.counter.as_ref().map_or(Duration::ZERO, |c| c.timeout) * FINAL_AFTER;
+        let end = Duration::from_secs_f64((call.slot + 1) as f64 * len) + grace;
+        let c = self.customers.get_mut(&call.customer).expect("seen above");
+        if let Some(s) = c.slots.get_mut(&call.slot) {
+            s.reading &= !call.read;
+            if ok {
+                s.confirmed += call.add;
+                if total + EPS < s.confirmed {
+                    // Less than this gateway alone has added: the counter lost it, so it is owed anew.
+                    s.put -= s.confirmed - total;
+                    s.confirmed = total;
+                }
+                (s.total, s.own_then, s.known) = (total.max(0.0), s.own, true);
+                if call.read && call.at >= end && !s.last {
+                    s.last = true;
+                    c.own_seen += s.own;
+                    c.all_seen += s.total.max(s.own);
+                }
+                c.usual = Some(total.max(c.usual.unwrap_or(0.0) * USUAL_FADES));
+                if c.all_seen > 4.0 * burst {
+                    c.own_seen /= 2.0;
+                    c.all_seen /= 2.0;
+                }
+            } else if outcome.never_ran() {
+                s.put -= call.add;
+            }
+        }
+        if let Some(id) = call.asks.filter(|id| self.invs.contains_key(id)) {
+            if !ok {
+                self.invs.get_mut(&id).expect("checked").added = outcome == Outcome::TimedOut;
+                self.verdict(now, id, false, out);
+            } else {
+                self.weigh(now, id, total, &call.customer, out);
+            }
+        } else if call.read {
+            let c = self.customers.get_mut(&call.customer).expect("seen above");
+            if !c.slots.values().any(|s| s.reading) {
+                for id in std::mem::take(&mut c.waiting) {
+                    if self.invs.get(&id).is_some_and(|i| i.stage == Stage::Asked) {
+                        self.verdict(now, id, true, out);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The add is answered: decide, after reading the finished slots where they can matter.
+    fn weigh(&mut self, now: Duration, id: InvId, total: f64, customer: &CustomerId, out: &mut Vec<Action>) {
+        self.roll(now, customer);
+        let c = &self.customers[customer];
+        let burst = self.set.plans[c.plan.0].burst;
+        let slot = self.slot_of(now, c.plan);
+        let asked = self.invs[&id].slot;
+        let told = (asked == slot).then_some(total);
+        let likely = self.sum(now, customer, true, told);
+        if likely > UNREAD_UP_TO * burst && self.ask >= ASK_READS {
+            let len = self.slot_len(c.plan);
+            let grace = self.set.counter.as_ref().map_or(Duration::ZERO, |c| c.timeout) * FINAL_AFTER;
+            let mut reads = Vec::new();
+            let c = self.customers.get_mut(customer).expect("seen above");
+            for k in c.oldest..slot {
+                let s = c.slots.entry(k).or_default();
+                let ended = now >= Duration::from_secs_f64((k + 1) as f64 * len) + grace;
+                if !s.last && !s.reading && (ended || !s.known) {
+                    s.reading = true;
+                    reads.push(k);
+                }
+            }
+            if c.slots.values().any(|s| s.reading) {
+                c.waiting.push(id);
+                for k in reads {
+                    self.call(now, customer.clone(), k, 0.0, None, true, out);
+                }
+                return;
+            }
+        }
+        self.verdict(now, id, true, out);
+    }
+
+    /// `told`: the running slot's total holds this invocation's units already.
+    fn verdict(&mut self, now: Duration, id: InvId, told: bool, out: &mut Vec<Action>) {
+        let inv = &self.invs[&id];
+        let (customer, units, plan, slot) = (inv.customer.clone(), inv.units, inv.plan, inv.slot);
+        self.roll(now, &customer);
+        let burst = self.set.plans[plan.0].burst;
+        let counted = told && self.customers[&customer].slots.get(&slot).is_some_and(|s| s.known);
+        let sum = self.sum(now, &customer, !told, None) + if counted { 0.0 } else { units };
+        if sum > burst + EPS {
+            return self.throttle(now, id, out);
+        }
+        let c = self.customers.get_mut(&customer).expect("has an invocation");
+        let s = c.slots.entry(slot).or_default();
+        s.own += units;
+        if counted {
+            s.own_then += units;
+        }
+        self.invs.get_mut(&id).expect("held").admitted = true;
+        self.enqueue(now, id, out);
+    }
+
+    /// Takes back what an invocation added that was never sent on.
+    fn undo(&mut self, now: Duration, id: InvId, out: &mut Vec<Action>) {
+        let Some(inv) = self.invs.get_mut(&id) else { return };
+        if !inv.deliveries.is_empty() {
+            return;
+        }
+        let (customer, slot, units) = (inv.customer.clone(), inv.slot, inv.units);
+        let (added, admitted) = (std::mem::take(&mut inv.added), std::mem::take(&mut inv.admitted));
+        let Some(c) = self.customers.get_mut(&customer) else { return };
+        let Some(s) = c.slots.get_mut(&slot) else { return };
+        if admitted {
+            s.own = (s.own - units).max(0.0);
+            s.own_then = s.own_then.min(s.own);
+        }
+        if added {
+            s.put -= units;
+            s.total = (s.total - units).max(0.0);
+            self.call(now, customer, slot, -units, None, false, out);
+        }
+    }
+
+    // ---- Final answers.
+
+    fn throttle(&mut self, now: Duration, id: InvId, out: &mut Vec<Action>) {
+        let inv = &self.invs[&id];
+        if !self.may_throttle(inv) {
+            out.push(Action::Error { inv: id });
+        } else {
+            let retry_after = self.set.limits.retry_after.map(|most| {
+                let p = self.set.plans.get(inv.plan.0).filter(|p| p.rate > 0.0 && !inv.admitted);
+                let over = p.map_or(0.0, |p| {
+                    (self.sum(now, &inv.customer, true, None) + inv.units - p.burst) / p.rate
+                });
+                let pressed = self.expect(0.5, inv.op);
+                Duration::from_secs_f64(over.max(pressed)).min(most)
+            });
+            out.push(Action::Throttle { inv: id, retry_after });
+        }
+        self.forget(now, id, out);
+    }
+
+    fn forget(&mut self, now: Duration, id: InvId, out: &mut Vec<Action>) {
+        self.undo(now, id, out);
+        let Some(inv) = self.invs.remove(&id) else { return };
+        self.line.remove(&(inv.arrived, id));
+        for (no, d) in inv.deliveries.iter().enumerate().filter(|(_, d)| d.out) {
+            if self.set.limits.cancel && !inv.started {
+                out.push(Action::Cancel { inv: id, no: DeliveryNo(no as u32) });
+            }
+            if let Some(t) = self.tgts.get_mut(&d.tgt) {
+                t.out.remove(&(d.sent, id, no as u32));
+            }
+        }
+        if let Some(c) = self.customers.get_mut(&inv.customer) {
+            c.held -= 1;
+            c.out -= inv.deliveries.iter().filter(|d| d.out).count() as u32;
+        }
+    }
+
+    /// Rule 2: a throttling reply promises that trying again is harmless.
+    fn may_throttle(&self, inv: &Inv) -> bool {
+        let harmless = inv.deliveries.iter().all(|d| d.idle);
+        match self.set.operations[inv.op.0].repeat {
+            Repeat::Idempotent => true,
+            Repeat::Tokened { group, .. } => harmless || group == Group::All,
+            Repeat::NonIdempotent => harmless,
+        }
+    }
+
+    /// Rules 1, 2 and 3 and the site's limits, for one delivery more.
+    fn may_deliver(&self, now: Duration, inv: &Inv, tgt: &Tgt) -> bool {
+        let out = inv.deliveries.iter().any(|d| d.out);
+        if tgt.entry.health != Health::Up
+            || inv.started
+            || now >= inv.deadline
+            || inv.deliveries.len() as u32 >= self.set.limits.tries
+            || (out && !self.set.limits.parallel)
+        {
+            return false;
+        }
+        let mut risky = inv.deliveries.iter().filter(|d| !d.idle);
+        match self.set.operations[inv.op.0].repeat {
+            Repeat::Idempotent => true,
+            Repeat::NonIdempotent => risky.next().is_none(),
+            Repeat::Tokened { group, window } => risky.all(|d| {
+                let same = match group {
+                    Group::All => true,
+                    Group::Zone => d.zone == tgt.entry.zone,
+                    Group::Cell => d.zone == tgt.entry.zone && d.cell == tgt.entry.cell,
+                };
+                same && now < d.sent + window
+            }),
+        }
+    }
+
+    // ---- The line and the backends.
+
+    /// Seconds that an answer takes by this quantile of late; a part of the objective before any came.
+    fn expect(&self, q: f64, op: OpId) -> f64 {
+        let aim = self.set.operations[op.0].latency_objective.as_secs_f64();
+        self.lat.quantile(q).unwrap_or(aim / 8.0)
+    }
+
+    fn objective(&self, inv: &Inv) -> Duration {
+        (inv.arrived + self.set.operations[inv.op.0].latency_objective).min(inv.deadline)
+    }
+
+    /// Into the line, unless what stands before it already uses up its time.
+    fn enqueue(&mut self, now: Duration, id: InvId, out: &mut Vec<Action>) {
+        let inv = &self.invs[&id];
+        let usual = self.expect(0.5, inv.op);
+        let left = self.objective(inv).saturating_sub(now).as_secs_f64();
+        let busy: usize = self.tgts.values().map(|t| t.out.len()).sum();
+        let wait = self.line.len() as f64 * self.lat.mean().unwrap_or(0.0) / busy.max(1) as f64;
+        if usual > left || (busy > 0 && wait + usual > left) {
+            return self.throttle(now, id, out);
+        }
+        let give_up = self.objective(inv).saturating_sub(Duration::from_secs_f64(usual));
+        self.line.insert((inv.arrived, id));
+        self.due.insert((give_up, Due::Objective(id)));
+        self.invs.get_mut(&id).expect("held").stage = Stage::InLine;
+    }
+
+    /// Present part of a backend's full capacity, at least.
+    fn warmth(&self, now: Duration, e: &Entry) -> f64 {
+        let age = now.saturating_sub(e.since).as_secs_f64() / self.set.cold_for.as_secs_f64().max(1e-9);
+        if e.since.is_zero() || age >= 1.0 {
+            1.0
+        } else {
+            self.set.cold_share + (1.0 - self.set.cold_share) * age
+        }
+    }
+
+    /// Units a second that go from here to a warm backend, on the average.
+    fn warm_flow(&self, now: Duration) -> f64 {
+        let warm = self.tgts.values().filter(|t| t.entry.health == Health::Up);
+        let warm = warm.filter(|t| self.warmth(now, &t.entry) >= 1.0).count().max(1) as f64;
+        let run = now.saturating_sub(self.flow.0).as_secs_f64();
+        (self.flow.1 + self.flow.2) / warm / (FLOW_SPAN.as_secs_f64() + run)
+    }
+
+    /// The best backend with a free place that this invocation may go to.
+    fn choose(&mut self, now: Duration, id: InvId) -> Option<TgtId> {
+        let inv = &self.invs[&id];
+        let usual = self.expect(0.5, inv.op);
+        let (flow, span) = (self.warm_flow(now), self.set.overload_for);
+        let mut best: Option<(f64, TgtId)> = None;
+        for (&t, tgt) in &self.tgts {
+            if now < tgt.blocked || !self.may_deliver(now, inv, tgt) {
+                continue;
+            }
+            let warm = self.warmth(now, &tgt.entry);
+            let places = if warm < 1.0 { (tgt.places * warm).min(PLACES_START * warm) } else { tgt.places };
+            if tgt.out.len() as f64 + 1.0 > places.max(1.0) {
+                continue;
+            }
+            if warm < 1.0 {
+                // Pushed over by all together, it stays down: this gateway keeps to its part of the budget.
+                let budget =
+                    COLD_PART * self.set.overload_factor * warm * flow * span.as_secs_f64().max(1e-3);
+                let sent: f64 = tgt.cold_sent.iter().filter(|(at, _)| *at + span > now).map(|(_, u)| u).sum();
+                if sent > 0.0 && sent + inv.units > budget || self.rng.random::<f64>() >= warm {
+                    continue;
+                }
+            }
+            let lat = tgt.lat.mean().unwrap_or(usual);
+            let silent =
+                tgt.out.first().map_or(0.0, |o| now.saturating_sub(o.0.max(tgt.heard)).as_secs_f64());
+            if silent > SILENT * lat.max(usual) {
+                continue; // Stalled, cut off or gone unseen: what it holds shows first whether it lives.
+            }
+            let tried = inv.deliveries.iter().any(|d| d.tgt == t);
+            let cost = lat.max(silent) * (tgt.out.len() as f64 + 1.0) / tgt.entry.weight.max(0.1)
+                * if tried { 100.0 } else { 1.0 };
+            if best.is_none_or(|(b, _)| cost < b) {
+                best = Some((cost, t));
+            }
+        }
+        best.map(|(_, t)| t)
+    }
+
+    fn pump(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let mut next = self.line.first().copied();
+        let mut misses = 0;
+        while let Some((at, id)) = next {
+            next = self.line.range((at, InvId(id.0 + 1))..).next().copied();
+            let inv = &self.invs[&id];
+            let p = self.set.plans.get(inv.plan.0);
+            let full = p.is_some_and(|p| {
+                let c = &self.customers[&inv.customer];
+                p.max_out > 0.0 && f64::from(c.out) >= (p.max_out * c.share(p.burst)).round().max(1.0)
+            });
+            if full {
+                continue;
+            }
+            match self.choose(now, id) {
+                Some(tgt) => self.deliver(now, id, tgt, out),
+                None => {
+                    misses += 1;
+                    if misses > 2 {
+                        break;
+                    }
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, now: Duration, id: InvId, tgt: TgtId, out: &mut Vec<Action>) {
+        let inv = &self.invs[&id];
+        let (first, units, op) = (inv.deliveries.is_empty(), inv.units, inv.op);
+        let p = self.set.plans.get(inv.plan.0);
+        if let Some(p) = p.filter(|p| first && p.ceiling_rate > 0.0) {
+            let c = self.customers.get_mut(&inv.customer).expect("has an invocation");
+            let earned = p.ceiling_rate / c.spread * (now - c.ceiling_at).as_secs_f64();
+            (c.ceiling, c.ceiling_at) = ((c.ceiling + earned).min(p.ceiling_burst / c.spread), now);
+            if c.ceiling < units {
+                return self.throttle(now, id, out);
+            }
+            c.ceiling -= units;
+        }
+        // Time-outs only where another go may follow one, and only while time is left for it.
+        let left = self.objective(inv).saturating_sub(now).as_secs_f64();
+        let (usual, slow) = (self.expect(0.75, op), self.expect(0.95, op));
+        let again = self.set.operations[op.0].repeat != Repeat::NonIdempotent
+            && (inv.deliveries.len() as u32) + 1 < self.set.limits.tries;
+        let patience = (PATIENCE * slow).max(left - PATIENCE * usual);
+        let timeout = (again && !self.set.limits.parallel && patience + usual < left)
+            .then(|| Duration::from_secs_f64(patience));
+        let copy_at = now + Duration::from_secs_f64(PATIENCE * slow);
+        let warm = self.warmth(now, &self.tgts[&tgt].entry) >= 1.0;
+        let inv = self.invs.get_mut(&id).expect("held");
+        let t = self.tgts.get_mut(&tgt).expect("chosen from it");
+        if warm {
+            self.flow.1 += units;
+        } else {
+            t.cold_sent.push_back((now, units));
+            let span = self.set.overload_for;
+            while t.cold_sent.front().is_some_and(|(at, _)| *at + span <= now) {
+                t.cold_sent.pop_front();
+            }
+        }
+        t.out.insert((now, id, inv.deliveries.len() as u32));
+        let (zone, cell) = (t.entry.zone, t.entry.cell);
+        inv.deliveries.push(Delivery { tgt, zone, cell, sent: now, out: true, idle: false });
+        inv.stage = Stage::Sent;
+        self.line.remove(&(inv.arrived, id));
+        if let Some(c) = self.customers.get_mut(&inv.customer) {
+            c.out += 1;
+        }
+        if first {
+            self.copies = (self.copies + COPIES).min(COPIES_SAVED);
+        }
+        if again && self.set.limits.parallel {
+            self.due.insert((copy_at, Due::Copy(id)));
+        }
+        out.push(Action::Deliver { inv: id, tgt, timeout });
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn ended(
+        &mut self,
+        now: Duration,
+        id: InvId,
+        no: DeliveryNo,
+        tgt: TgtId,
+        outcome: Outcome,
+        latency: Duration,
+        closed: bool,
+        true_units: Option<f64>,
+        out: &mut Vec<Action>,
+    ) {
+        let op = self.invs.get(&id).map_or(OpId(0), |i| i.op);
+        let aim = self.set.operations[op.0].latency_objective.as_secs_f64();
+        let usual = self.expect(0.5, op);
+        if let Some(t) = self.tgts.get_mut(&tgt) {
+            let full = t.out.len() as f64 + 1.0 > t.places;
+            t.out.remove(&(now.saturating_sub(latency), id, no.0));
+            if let Some(d) = self.invs.get(&id).and_then(|i| i.deliveries.get(no.0 as usize)) {
+                t.out.remove(&(d.sent, id, no.0));
+            }
+            t.heard = if outcome == Outcome::TimedOut { t.heard } else { now };
+            match outcome {
+                Outcome::Ok => {
+                    self.lat.note(latency, FLEET_SAMPLES);
+                    t.lat.note(latency, TGT_SAMPLES);
+                    let took = latency.as_secs_f64();
+                    t.fails = 0;
+                    if took > SLOW_ANSWER * usual || took > aim * 2.0 * GROW_WITHIN {
+                        t.places = (t.places * PLACES_FALL).max(1.0);
+                    } else if full && took < aim * GROW_WITHIN {
+                        t.places = (t.places + 1.0 / t.places).min(PLACES_MOST);
+                    }
+                }
+                Outcome::TimedOut => {
+                    t.lat.note(latency, TGT_SAMPLES);
+                    t.places = (t.places * PLACES_FALL).max(1.0);
+                }
+                Outcome::Full | Outcome::ConnectFailed | Outcome::Reset => {
+                    t.places = (t.places * PLACES_FALL).max(1.0);
+                    let back = BACK_FIRST * 2u32.pow(t.fails.min(6));
+                    t.fails += u32::from(outcome != Outcome::Full);
+                    t.blocked = t.blocked.max(now + back.min(BACK_MOST));
+                }
+                Outcome::Failed | Outcome::Canceled | Outcome::Ignored => {}
+            }
+        }
+        let Some(inv) = self.invs.get_mut(&id) else { return };
+        if let Some(d) = inv.deliveries.get_mut(no.0 as usize).filter(|d| d.out) {
+            (d.out, d.idle) = (false, outcome.never_ran());
+            if let Some(c) = self.customers.get_mut(&inv.customer) {
+                c.out -= 1;
+            }
+        }
+        if let (true, Some(units)) = (self.set.settles, true_units) {
+            self.settle(now, id, units, out);
+        }
+        if closed {
+            return self.forget(now, id, out);
+        }
+        let inv = &self.invs[&id];
+        if inv.stage == Stage::Sent && !inv.deliveries.iter().any(|d| d.out) {
+            self.again_or_end(now, id, out);
+        }
+    }
+
+    /// Settled units: the difference goes to the running slot.
+    fn settle(&mut self, now: Duration, id: InvId, units: f64, out: &mut Vec<Action>) {
+        let inv = &self.invs[&id];
+        let (customer, plan, diff) = (inv.customer.clone(), inv.plan, units - inv.units);
+        if diff.abs() < EPS || !inv.admitted || self.set.plans.get(plan.0).is_none_or(|p| p.rate <= 0.0) {
+            return;
+        }
+        let slot = self.slot_of(now, plan);
+        let s = self.customers.get_mut(&customer).expect("has an invocation").slots.entry(slot).or_default();
+        s.own += diff;
+        s.put += diff;
+        if self.set.counter.is_some() {
+            self.call(now, customer, slot, diff, None, false, out);
+        }
+    }
+
+    /// No delivery is out: back into the line if a further one can still be of use, else a final answer.
+    fn again_or_end(&mut self, now: Duration, id: InvId, out: &mut Vec<Action>) {
+        let inv = &self.invs[&id];
+        let late = self.set.operations[inv.op.0].late_value > 0.0;
+        let until = if late { inv.deadline } else { self.objective(inv) };
+        let left = until.saturating_sub(now).as_secs_f64();
+        let can = self.tgts.values().any(|t| self.may_deliver(now, inv, t));
+        if can && left > self.expect(0.5, inv.op) {
+            self.line.insert((inv.arrived, id));
+            let give_up = until.saturating_sub(Duration::from_secs_f64(self.expect(0.5, inv.op)));
+            self.due.insert((give_up.max(now), Due::Objective(id)));
+            self.invs.get_mut(&id).expect("held").stage = Stage::InLine;
+        } else {
+            self.throttle(now, id, out);
+        }
+    }
+
+    fn started(&mut self, id: InvId, no: DeliveryNo, out: &mut Vec<Action>) {
+        let Some(inv) = self.invs.get_mut(&id) else { return };
+        inv.started = true;
+        inv.stage = Stage::Sent;
+        self.line.remove(&(inv.arrived, id));
+        for (k, d) in inv.deliveries.iter().enumerate() {
+            if d.out && k as u32 != no.0 && self.set.limits.cancel {
+                out.push(Action::Cancel { inv: id, no: DeliveryNo(k as u32) });
+            }
+        }
+    }
+
+    fn run_due(&mut self, now: Duration, out: &mut Vec<Action>) {
+        while let Some(&(at, due)) = self.due.first()
+            && at <= now
+        {
+            self.due.pop_first();
+            match due {
+                Due::Final(id) if self.invs.get(&id).is_some_and(|i| !i.started) => {
+                    self.throttle(now, id, out)
+                }
+                Due::Objective(id) if self.invs.get(&id).is_some_and(|i| i.stage == Stage::InLine) => {
+                    self.throttle(now, id, out)
+                }
+                Due::Copy(id) => self.copy(now, id, out),
+                Due::Look => self.looks = false,
+                Due::Watch => out.push(Action::Watch { on: true }),
+                _ => {}
+            }
+        }
+    }
+
+    /// A second copy for a delivery that takes too long; never while work waits in line.
+    fn copy(&mut self, now: Duration, id: InvId, out: &mut Vec<Action>) {
+        let Some(inv) = self.invs.get(&id) else { return };
+        let left = self.objective(inv).saturating_sub(now).as_secs_f64();
+        let out_now = inv.deliveries.iter().filter(|d| d.out).count();
+        let useful = inv.stage == Stage::Sent && out_now == 1 && left > self.expect(0.5, inv.op);
+        if !useful || !self.line.is_empty() || self.copies < 1.0 {
+            return;
+        }
+        if let Some(tgt) = self.choose(now, id)
+            && inv_untried(&self.invs[&id], tgt)
+        {
+            self.copies -= 1.0;
+            self.deliver(now, id, tgt, out);
+        }
+    }
+
+    fn listed(&mut self, now: Duration, form: ListForm, entries: &[Entry], out: &mut Vec<Action>) {
+        if form == ListForm::Unavailable {
+            self.due.insert((now + WATCH_AGAIN, Due::Watch));
+            return;
+        }
+        if form != ListForm::Update {
+            for t in self.tgts.values_mut() {
+                t.entry.health = Health::Gone; // Absent from a whole list is gone.
+            }
+        }
+        for e in entries {
+            let t = self.tgts.entry(e.tgt).or_insert_with(|| Tgt::new(e.clone(), now));
+            if t.entry.since != e.since {
+                // A new process: nothing measured of the last one holds.
+                let held = std::mem::take(&mut t.out);
+                *t = Tgt { out: held, ..Tgt::new(e.clone(), now) };
+            }
+            t.entry = e.clone();
+        }
+        self.tgts.retain(|_, t| t.entry.health != Health::Gone || !t.out.is_empty());
+        if form == ListForm::Restored && self.set.discovery == Discovery::Subscribed {
+            out.push(Action::Watch { on: true });
+        }
+    }
+
+    /// Now and then: forgets idle customers, turns the flow's span.
+    fn sweep(&mut self, now: Duration) {
+        if now >= self.flow.0 + FLOW_SPAN {
+            self.flow = (now, 0.0, self.flow.1);
+        }
+        if now < self.swept + FLOW_SPAN {
+            return;
+        }
+        self.swept = now;
+        let plans = &self.set.plans;
+        self.customers.retain(|_, c| {
+            let p = &plans[c.plan.0];
+            let window = if p.rate > 0.0 { p.burst / p.rate } else { 0.0 };
+            let ceiling = if p.ceiling_rate > 0.0 { p.ceiling_burst / p.ceiling_rate } else { 0.0 };
+            c.held > 0 || now < c.used_at + Duration::from_secs_f64((2.0 * window).max(ceiling)) + FLOW_SPAN
+        });
+    }
+}
+
+fn inv_untried(inv: &Inv, tgt: TgtId) -> bool {
+    inv.deliveries.iter().all(|d| d.tgt != tgt)
+}
+
+impl Tgt {
+    fn new(entry: Entry, now: Duration) -> Self {
+        Tgt {
+            entry,
+            out: BTreeSet::new(),
+            places: PLACES_START,
+            lat: Hist([0.0; BINS]),
+            blocked: Duration::ZERO,
+            fails: 0,
+            heard: now,
+            cold_sent: VecDeque::new(),
+        }
+    }
+}
+
+impl Customer {
+    /// Part of the customer's use that comes in here, drawn towards an even spread.
+    fn share(&self, burst: f64) -> f64 {
+        let even = EVEN_WEIGHT * burst.max(1.0);
+        ((self.own_seen + even / self.spread) / (self.all_seen + even)).clamp(0.05, 1.0)
+    }
+}
