--- a/src/rules.rs
+++ b/src/rules.rs
@@ -55,6 +55,9 @@
 /// A backend that refuses connections is tried again after this, doubled at each failure up to the most.
 const BACK_FIRST: Duration = Duration::from_millis(100);
 const BACK_MOST: Duration = Duration::from_secs(2);
+/// Part of an invocation's time that the line before it may take: a client's try after a throttling still
+/// has its first one's objective, so a long line makes the answers late that it does not turn away.
+const LINE_PART: f64 = 0.25;
 /// Second copies as a part of first deliveries: enough for one bad backend in ten, little fuel in overload.
 const COPIES: f64 = 0.1;
 const COPIES_SAVED: f64 = 10.0;
@@ -684,7 +687,7 @@
         let left = self.objective(inv).saturating_sub(now).as_secs_f64();
         let busy: usize = self.tgts.values().map(|t| t.out.len()).sum();
         let wait = self.line.len() as f64 * self.lat.mean().unwrap_or(0.0) / busy.max(1) as f64;
-        if usual > left || (busy > 0 && wait + usual > left) {
+        if usual > left || (busy > 0 && wait > LINE_PART * left) {
             return self.throttle(now, id, out);
         }
         let give_up = self.objective(inv).saturating_sub(Duration::from_secs_f64(usual));
