Places follow a backend's answer time against the fleet's at ease

Also in: a call's line at the counter steers how often it is asked, and a backend that broke connections counts as fresh. Also holds against: any slow backend or fleet. May hurt: a lasting change of work size is taken in only over thousands of answers.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,19 +37,23 @@
 const EVEN_WEIGHT: f64 = 1.0;
 /// Part of invocations that still ask a dead counter: a few a second find its return, none wait long.
 const ASK_LEAST: f64 = 0.05;
-/// Asking falls by this at a failed call and grows by that at a good one: out in ten calls, back in as many.
+/// Asking falls by this at a failed call and grows by that at a prompt one: out in ten calls, back in as many.
 const ASK_FALLS: f64 = 0.7;
 const ASK_GROWS: f64 = 1.35;
+/// A call answered later than this part of its time-out stood in line; from there asking grows by the latter.
+const ASK_PROMPT: f64 = 0.3;
+const ASK_CREEPS: f64 = 1.02;
 /// Reads are left out below this chance of asking: a crowded counter's calls are for adds.
 const ASK_READS: f64 = 0.5;
 /// Places of a backend not known yet, and the most: a few keep any small server busy, none is flooded.
 const PLACES_START: f64 = 4.0;
 const PLACES_MOST: f64 = 64.0;
-/// An answer later than this many usual ones takes a place away, by the factor below.
-const SLOW_ANSWER: f64 = 4.0;
+/// Places fall by this at a refusal or time-out.
 const PLACES_FALL: f64 = 0.8;
-/// Part of the latency objective that an answer may take while places still grow: line and rest need theirs.
-const GROW_WITHIN: f64 = 0.33;
+/// Places grow up to this many times the fleet's answer time at ease: kinds differ twofold, samples are few.
+const EASE: f64 = 2.5;
+/// The time at ease drifts up by this at each answer, a doubling in thousands: lasting change is taken in.
+const EASE_DRIFTS: f64 = 1.0002;
 /// A silent backend is left alone after this many usual answer times, but for its own line moving.
 const SILENT: f64 = 6.0;
 /// A backend that refuses connections is tried again after this, doubled at each failure up to the most.
@@ -230,6 +234,8 @@
     looks: bool,
     ask: f64,
     lat: Hist,
+    /// Mean answer time of the fleet in its best spell, in seconds.
+    ease: f64,
     copies: f64,
     flow: (Duration, f64, f64),
     swept: Duration,
@@ -250,6 +256,7 @@
             looks: false,
             ask: 1.0,
             lat: Hist([0.0; BINS]),
+            ease: f64::MAX,
             copies: 0.0,
             flow: (now, 0.0, 0.0),
             swept: now,
@@ -284,7 +291,9 @@
             }
             Event::Left { inv } => self.forget(now, inv, out),
             Event::Timer { .. } => {}
-            Event::Total { name, outcome, total, .. } => self.told(now, name, outcome, total, out),
+            Event::Total { name, outcome, total, latency } => {
+                self.told(now, name, outcome, total, latency, out)
+            },
             Event::Probed { .. } | Event::Peer { .. } => {}
         }
         self.run_due(now, out);
@@ -463,17 +472,30 @@
         if c.oldest + SLOTS > slot + 1 { window } else { window.min(debt) }
     }
 
-    fn told(&mut self, now: Duration, name: String, outcome: Outcome, total: f64, out: &mut Vec<Action>) {
+    fn told(
+        &mut self,
+        now: Duration,
+        name: String,
+        outcome: Outcome,
+        total: f64,
+        latency: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        let timeout = self.set.counter.as_ref().map_or(Duration::ZERO, |c| c.timeout);
         let Some(queue) = self.calls.get_mut(&name) else { return };
         let Some(call) = queue.pop_front() else { return };
         if queue.is_empty() {
             self.calls.remove(&name);
         }
         let ok = outcome == Outcome::Ok;
-        self.ask = if ok { (self.ask * ASK_GROWS).min(1.0) } else { (self.ask * ASK_FALLS).max(ASK_LEAST) };
+        // A crowded counter answers many too late, and works on them all the same: follow its line, not
+        // only its failures, or half of the calls are lost while every gateway pushes.
+        let prompt = latency < timeout.mul_f64(ASK_PROMPT);
+        let step = if !ok { ASK_FALLS } else { if prompt { ASK_GROWS } else { ASK_CREEPS } };
+        self.ask = (self.ask * step).clamp(ASK_LEAST, 1.0);
         let Some(c) = self.customers.get(&call.customer) else { return };
         let (len, burst) = (self.slot_len(c.plan), self.set.plans[c.plan.0].burst);
-        let grace = self.set.counter.as_ref().map_or(Duration::ZERO, |c| c.timeout) * FINAL_AFTER;
+        let grace = timeout * FINAL_AFTER;
         let end = Duration::from_secs_f64((call.slot + 1) as f64 * len) + grace;
         let c = self.customers.get_mut(&call.customer).expect("seen above");
         if let Some(s) = c.slots.get_mut(&call.slot) {
@@ -844,9 +866,6 @@
         true_units: Option<f64>,
         out: &mut Vec<Action>,
     ) {
-        let op = self.invs.get(&id).map_or(OpId(0), |i| i.op);
-        let aim = self.set.operations[op.0].latency_objective.as_secs_f64();
-        let usual = self.expect(0.5, op);
         if let Some(t) = self.tgts.get_mut(&tgt) {
             let full = t.out.len() as f64 + 1.0 > t.places;
             t.out.remove(&(now.saturating_sub(latency), id, no.0));
@@ -858,13 +877,15 @@
                 Outcome::Ok => {
                     self.lat.note(latency, FLEET_SAMPLES);
                     t.lat.note(latency, TGT_SAMPLES);
-                    let took = latency.as_secs_f64();
                     t.fails = 0;
-                    if took > SLOW_ANSWER * usual || took > aim * 2.0 * GROW_WITHIN {
-                        t.places = (t.places * PLACES_FALL).max(1.0);
-                    } else if full && took < aim * GROW_WITHIN {
-                        t.places = (t.places + 1.0 / t.places).min(PLACES_MOST);
+                    // Holding more than it works on only makes a backend less efficient: its places follow
+                    // how its answer time compares with the fleet's when that was at ease.
+                    let ease = (EASE * self.ease / t.lat.mean().unwrap_or(self.ease)).clamp(0.5, 1.0);
+                    if full || ease < 1.0 {
+                        t.places = (t.places + ease - 1.0 + 1.0 / t.places).clamp(1.0, PLACES_MOST);
                     }
+                    let mean = self.lat.mean().unwrap_or(self.ease);
+                    self.ease = (self.ease * EASE_DRIFTS).min(mean);
                 }
                 Outcome::TimedOut => {
                     t.lat.note(latency, TGT_SAMPLES);
@@ -875,6 +896,10 @@
                     let back = BACK_FIRST * 2u32.pow(t.fails.min(6));
                     t.fails += u32::from(outcome != Outcome::Full);
                     t.blocked = t.blocked.max(now + back.min(BACK_MOST));
+                    if outcome != Outcome::Full {
+                        // Its process may have died, to come back cold seconds before the list says so.
+                        t.entry.since = t.entry.since.max(now);
+                    }
                 }
                 Outcome::Failed | Outcome::Canceled | Outcome::Ignored => {}
             }
@@ -992,12 +1017,12 @@
         }
         for e in entries {
             let t = self.tgts.entry(e.tgt).or_insert_with(|| Tgt::new(e.clone(), now));
-            if t.entry.since != e.since {
+            if e.since > t.entry.since {
                 // A new process: nothing measured of the last one holds.
                 let held = std::mem::take(&mut t.out);
                 *t = Tgt { out: held, ..Tgt::new(e.clone(), now) };
             }
-            t.entry = e.clone();
+            t.entry = Entry { since: t.entry.since.max(e.since), ..e.clone() };
         }
         self.tgts.retain(|_, t| t.entry.health != Health::Gone || !t.out.is_empty());
         if form == ListForm::Restored && self.set.discovery == Discovery::Subscribed {
