Verdicts from own and others' units apart, over two windows

Cause: the bare window refuses what the quota's store still has after a quiet spell, and unread slots counted for nothing. Finished slots of two windows now tell what the store must hold; the lower of window and store decides. Own and other gateways' units are kept apart, the counter is repaired both ways, and a full line refuses before any call. Also holds against: flushes and late undos. May hurt: a customer whose use moves between gateways faster than slots are read.

--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use damsonbeam::Rules;
-use damsonbeam::interface::{Action, Entry};
+use damsonbeam::interface::Entry;
 
 /// All instances of this process, and the lists that the wire numbers for all of them.
 #[derive(Default)]
@@ -25,7 +25,6 @@
         let batch: wire::Batch = serde_json::from_str(line).map_err(|e| format!("not a batch: {e}"))?;
         let now = Duration::from_nanos(batch.clock);
         let mut reply = wire::Reply::default();
-        let mut actions: Vec<Action> = Vec::new();
         for happened in batch.happened {
             let (gateway, event) = match happened {
                 wire::Happened::Unknown => continue,
@@ -54,8 +53,8 @@
                 .instances
                 .get_mut(&gateway)
                 .ok_or_else(|| format!("event for unknown instance {gateway}"))?;
-            rules.on(now, event, &mut actions);
-            reply.output.extend(actions.drain(..).map(|action| translate::output(gateway, action)));
+            let actions = rules.on(now, event);
+            reply.output.extend(actions.into_iter().map(|action| translate::output(gateway, action)));
         }
         Ok(reply)
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,8 +1,8 @@
 //! Every decision of a gateway, in one place.
 //!
 //! A front end makes one [`Rules`] for each gateway life and calls [`Rules::on`] with each event in
-//! order; the actions pushed to `out` are to be carried out at once, in order. The types of both stand
-//! in `interface.rs`. Time is the events' clock, chance comes from the seed: same events, same actions.
+//! order; the actions it returns are to be carried out at once, in order. The types of both stand in
+//! `interface.rs`. Time is the events' clock, chance comes from the seed: same events, same actions.
 //!
 //! The design (docs/design.md): an invocation adds its units to its customer's count of the running
 //! slot on the counter, the slots inside the sliding window are summed, and it is throttled if the sum
@@ -31,8 +31,13 @@
 const FINAL_AFTER: u32 = 3;
 /// Part of the burst up to which guesses stand in for unread slots: half leaves room to be wrong twofold.
 const UNREAD_UP_TO: f64 = 0.5;
-/// A customer's usual slot fades by this at each newer one: some ten slots, a few windows.
-const USUAL_FADES: f64 = 0.9;
+/// A customer's usual slot moves this far to each newer one: some five slots, about a window.
+const USUAL_STEP: f64 = 0.2;
+/// Part of the rate that a customer not known yet is taken to use: most use less than half.
+const USUAL_FIRST: f64 = 0.5;
+/// How far an unread slot is taken to be like here at the other gateways, share for share: a half, since a
+/// single invocation where a customer is thinly spread says little, a surge seen here much.
+const ALIKE: f64 = 0.5;
 /// Weight (in bursts) of an even spread against what was seen of a customer's share: one window's worth.
 const EVEN_WEIGHT: f64 = 1.0;
 /// Part of invocations that still ask a dead counter: a few a second find its return, none wait long.
@@ -116,28 +121,31 @@
 /// One slot of a customer's window, as far as known here.
 #[derive(Clone, Default)]
 struct Slot {
-    /// Units admitted here.
+    /// Units admitted here, and those whose add is not answered yet.
     own: f64,
-    /// Own units that the counter is believed to hold, sent and confirmed.
+    asking: f64,
+    /// Own units that the counter is believed to hold.
     put: f64,
-    confirmed: f64,
-    /// The last total told, and `own` at that time.
-    total: f64,
-    own_then: f64,
+    /// Units of the other gateways, by the last answer, and when that came.
+    others: f64,
+    told: Duration,
     known: bool,
     last: bool,
     reading: bool,
+    failed: bool,
 }
 
-impl Slot {
-    /// Units of all gateways: what was told, and what came here since, seen as its share of the whole.
-    fn all(&self, share: f64) -> f64 {
-        if self.total + EPS < self.own_then {
-            return self.own / share; // The counter lost it: a flush must not hand out a burst again.
-        }
-        self.total + (self.own - self.own_then).max(0.0) / if self.last { 1.0 } else { share }
-    }
-}
+const NO_SLOT: Slot = Slot {
+    own: 0.0,
+    asking: 0.0,
+    put: 0.0,
+    others: 0.0,
+    told: Duration::ZERO,
+    known: false,
+    last: false,
+    reading: false,
+    failed: false,
+};
 
 struct Customer {
     plan: PlanId,
@@ -146,7 +154,8 @@
     /// Units over the refill at the start of the oldest slot kept (an upper bound).
     debt: f64,
     oldest: u64,
-    /// A full slot of late, by all gateways; none before the first total.
+    learned: u64,
+    /// Units of a slot of late, by all gateways; none before the first total.
     usual: Option<f64>,
     own_seen: f64,
     all_seen: f64,
@@ -206,6 +215,8 @@
     customer: CustomerId,
     slot: u64,
     add: f64,
+    /// All that this gateway has put there, with this call.
+    upto: f64,
     asks: Option<InvId>,
     read: bool,
     at: Duration,
@@ -223,6 +234,8 @@
 pub struct Rules {
     set: Settings,
     rng: ChaCha8Rng,
+    now: Duration,
+    out: Vec<Action>,
     began: Duration,
     invs: BTreeMap<InvId, Inv>,
     customers: BTreeMap<CustomerId, Customer>,
@@ -245,6 +258,8 @@
     pub fn new(seed: u64, set: Settings, now: Duration) -> Self {
         Rules {
             rng: ChaCha8Rng::seed_from_u64(seed),
+            now,
+            out: Vec::new(),
             began: now,
             invs: BTreeMap::new(),
             customers: BTreeMap::new(),
@@ -265,9 +280,10 @@
     }
 
     /// The one entry point: what happened in, what is to be done out.
-    pub fn on(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
+    pub fn on(&mut self, now: Duration, event: Event) -> Vec<Action> {
+        self.now = now;
         match event {
-            Event::Targets { form, entries } => self.listed(now, form, &entries, out),
+            Event::Targets { form, entries } => self.listed(form, &entries),
             Event::Invocation { inv, deadline, op, plan, customer, units, first_gateway, spread, .. } => {
                 let here = Inv {
                     op,
@@ -283,22 +299,19 @@
                     started: false,
                     deliveries: Vec::new(),
                 };
-                self.arrived(now, inv, here, first_gateway, spread, out);
+                self.arrived(inv, here, first_gateway, spread);
             }
-            Event::FirstByte { inv, no, .. } => self.started(inv, no, out),
+            Event::FirstByte { inv, no, .. } => self.started(inv, no),
             Event::Outcome { inv, no, tgt, outcome, latency, closed, true_units, .. } => {
-                self.ended(now, inv, no, tgt, outcome, latency, closed, true_units, out)
+                self.ended((inv, no), tgt, outcome, latency, closed, true_units)
             }
-            Event::Left { inv } => self.forget(now, inv, out),
-            Event::Timer { .. } => {}
-            Event::Total { name, outcome, total, latency } => {
-                self.told(now, name, outcome, total, latency, out)
-            },
-            Event::Probed { .. } | Event::Peer { .. } => {}
+            Event::Left { inv } => self.forget(inv),
+            Event::Total { name, outcome, total, latency } => self.told(name, outcome, total, latency),
+            Event::Timer { .. } | Event::Probed { .. } | Event::Peer { .. } => {}
         }
-        self.run_due(now, out);
-        self.pump(now, out);
-        self.sweep(now);
+        self.run_due();
+        self.pump();
+        self.sweep();
         if !self.line.is_empty() && !self.looks {
             self.looks = true;
             self.due.insert((now + LOOK, Due::Look));
@@ -308,8 +321,9 @@
         {
             self.armed = Some(at);
             let after = at.saturating_sub(now).max(Duration::from_nanos(1));
-            out.push(Action::Timer { after, token: "due".into() });
+            self.out.push(Action::Timer { after, token: "due".into() });
         }
+        std::mem::take(&mut self.out)
     }
 
     // ---- The design: the shared count of each customer's window.
@@ -319,32 +333,39 @@
         (p.burst / p.rate / SLOTS as f64).max(self.set.tick.as_secs_f64())
     }
 
-    fn arrived(
-        &mut self,
-        now: Duration,
-        id: InvId,
-        mut inv: Inv,
-        first: GatewayId,
-        spread: u32,
-        out: &mut Vec<Action>,
-    ) {
+    fn slot_of(&self, plan: PlanId) -> u64 {
+        (self.now.as_secs_f64() / self.slot_len(plan)) as u64
+    }
+
+    /// A slot's total is final some time after its end: late adds and undos are on their way till then.
+    fn settled(&self, plan: PlanId, slot: u64, at: Duration) -> bool {
+        let timeout = self.set.counter.as_ref().map_or(Duration::ZERO, |c| c.timeout);
+        at >= Duration::from_secs_f64((slot + 1) as f64 * self.slot_len(plan)) + timeout * FINAL_AFTER
+    }
+
+    fn metered(&self, plan: PlanId) -> bool {
+        self.set.plans.get(plan.0).is_some_and(|p| p.rate > 0.0 && p.burst > 0.0)
+    }
+
+    fn arrived(&mut self, id: InvId, mut inv: Inv, first: GatewayId, spread: u32) {
         let n = self.set.gateways.max(1);
         let spread = if spread == 0 { n } else { spread.min(n) };
         let inside = (self.set.me.0 + n - first.0 % n) % n < spread;
         let margin = self.set.tick.max(Duration::from_millis(1));
         self.due.insert((inv.deadline.saturating_sub(margin), Due::Final(id)));
-        let limited = self.set.plans.get(inv.plan.0).is_some_and(|p| p.rate > 0.0 && p.burst > 0.0);
-        if let Some(p) = self.set.plans.get(inv.plan.0) {
-            let (rate, depth) = (p.ceiling_rate / spread as f64, p.ceiling_burst / spread as f64);
-            let (slot, began) = (limited.then(|| self.slot_of(now, inv.plan)).unwrap_or(0), self.began);
-            let burst = p.burst;
-            let c = self.customers.entry(inv.customer.clone()).or_insert_with(|| Customer {
-                plan: inv.plan,
-                spread: spread as f64,
+        let metered = self.metered(inv.plan);
+        let (customer, units, plan) = (inv.customer.clone(), inv.units, inv.plan);
+        if let Some(p) = self.set.plans.get(plan.0) {
+            inv.slot = if metered { self.slot_of(plan) } else { 0 };
+            let parts = if inside { 1.0 / f64::from(spread) } else { 0.0 };
+            let lived = (self.now - self.began).as_secs_f64();
+            let c = self.customers.entry(customer.clone()).or_insert_with(|| Customer {
+                plan,
+                spread: f64::from(spread),
                 slots: BTreeMap::new(),
-                // Nothing is known of what was used before the window: assume all of it.
-                debt: burst,
-                oldest: slot.saturating_sub(SLOTS),
+                debt: p.burst,
+                oldest: inv.slot.saturating_sub(2 * SLOTS),
+                learned: inv.slot,
                 usual: None,
                 own_seen: 0.0,
                 all_seen: 0.0,
@@ -352,297 +373,241 @@
                 held: 0,
                 out: 0,
                 // A restart must not hand out the ceiling's store again: a life earns its part from nothing.
-                ceiling: (rate * (now - began).as_secs_f64()).min(depth),
-                ceiling_at: now,
-                used_at: now,
+                ceiling: (p.ceiling_rate * lived).min(p.ceiling_burst) * parts,
+                ceiling_at: self.now,
+                used_at: self.now,
             });
-            c.spread = spread as f64;
-            if !inside && p.ceiling_rate > 0.0 {
+            (c.spread, c.used_at) = (f64::from(spread), self.now);
+            c.held += 1;
+            if !inside {
                 c.ceiling = 0.0; // No part of the ceiling is this gateway's.
             }
-            c.used_at = now;
-            c.held += 1;
-        }
-        if !limited {
-            inv.admitted = true;
-            self.invs.insert(id, inv);
-            return self.enqueue(now, id, out);
         }
-        let (customer, units, plan) = (inv.customer.clone(), inv.units, inv.plan);
-        inv.slot = self.slot_of(now, plan);
-        let slot = inv.slot;
         self.invs.insert(id, inv);
-        self.roll(now, &customer);
-        // Known to be full already: refused early, without a call that would have to be undone.
-        if self.sum(now, &customer, false, None) + units > self.set.plans[plan.0].burst + EPS {
-            return self.throttle(now, id, out);
+        if !metered {
+            self.invs.get_mut(&id).expect("just made").admitted = true;
+            return self.enqueue(id);
+        }
+        self.roll(&customer);
+        // Known to be full, or no room in the line: refused early, without calls that are then undone.
+        let burst = self.set.plans[plan.0].burst;
+        let full = self.sum(&customer, false) + units > burst + EPS && self.unread(&customer, 0).is_empty();
+        if full || self.pressed(id) {
+            return self.throttle(id);
         }
         if self.set.counter.is_none() || self.rng.random::<f64>() >= self.ask {
-            return self.verdict(now, id, false, out);
+            return self.verdict(id, false);
         }
-        let c = self.customers.get_mut(&customer).expect("just made");
-        let s = c.slots.entry(slot).or_default();
-        // Repair: units admitted here that the counter lacks (not asked, or lost by it) go in as well.
-        let add = units + (s.own - s.put).max(0.0);
-        s.put += add;
+        let s = self.customers.get_mut(&customer).expect("made above").slots.entry(self.invs[&id].slot);
+        let s = s.or_default();
+        // Repair: what the counter lacks of the units admitted here (not asked, or lost), or holds too much.
+        let add = units + s.own + s.asking - s.put;
+        s.asking += units;
         self.invs.get_mut(&id).expect("just made").added = true;
-        self.call(now, customer, slot, add, Some(id), false, out);
-    }
-
-    fn slot_of(&self, now: Duration, plan: PlanId) -> u64 {
-        (now.as_secs_f64() / self.slot_len(plan)) as u64
+        self.call(customer, self.invs[&id].slot, add, Some(id), false);
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn call(
-        &mut self,
-        now: Duration,
-        customer: CustomerId,
-        slot: u64,
-        add: f64,
-        asks: Option<InvId>,
-        read: bool,
-        out: &mut Vec<Action>,
-    ) {
-        let plan = self.customers[&customer].plan;
-        let mut text: String = customer.0.to_string();
+    fn call(&mut self, customer: CustomerId, slot: u64, add: f64, asks: Option<InvId>, read: bool) {
+        let c = self.customers.get_mut(&customer).expect("is counted for");
+        let plan = c.plan;
+        let s = c.slots.entry(slot).or_default();
+        s.put += add;
+        let upto = s.put;
+        let mut text = customer.0.to_string();
         if text.len() > 40 {
-            let hash = text
-                .bytes()
-                .fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
-            text = format!("{hash:x}");
+            let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+            text = format!("{:x}", text.bytes().fold(0xcbf2_9ce4_8422_2325, step)); // FNV-1a
         }
         let name = format!("{slot}/{text}");
-        let keep = Duration::from_secs_f64(self.slot_len(plan) * (SLOTS + KEEP) as f64).min(KEEP_MOST);
-        self.calls.entry(name.clone()).or_default().push_back(Call {
-            customer,
-            slot,
-            add,
-            asks,
-            read,
-            at: now,
-        });
-        out.push(Action::Count { name, add, keep });
+        let keep = Duration::from_secs_f64(self.slot_len(plan) * (2 * SLOTS + KEEP) as f64).min(KEEP_MOST);
+        let call = Call { customer, slot, add, upto, asks, read, at: self.now };
+        self.calls.entry(name.clone()).or_default().push_back(call);
+        self.out.push(Action::Count { name, add, keep });
     }
 
-    /// Ages slots out of the window into the debt that they leave.
-    fn roll(&mut self, now: Duration, customer: &CustomerId) {
+    /// Learns from finished slots and ages them out of the two windows kept, into the debt they leave.
+    fn roll(&mut self, customer: &CustomerId) {
         let Some(c) = self.customers.get(customer) else { return };
-        let (plan, len, slot) = (c.plan, self.slot_len(c.plan), self.slot_of(now, c.plan));
-        let p = &self.set.plans[plan.0];
-        let (burst, refill) = (p.burst, p.rate * len);
+        let (slot, p) = (self.slot_of(c.plan), &self.set.plans[c.plan.0]);
+        let (burst, refill) = (p.burst, p.rate * self.slot_len(c.plan));
         let c = self.customers.get_mut(customer).expect("seen above");
-        let share = c.share(burst);
-        while c.oldest + SLOTS < slot {
-            let idle = c.slots.is_empty() && c.debt <= 0.0;
-            let gone = c.slots.remove(&c.oldest);
-            // A slot never seen here may hold others' use: no credit beyond a usual one is drawn from it.
-            let used = gone.map_or(0.0, |s| s.all(share)).max(c.usual.unwrap_or(0.0).min(refill));
-            c.debt = (c.debt - refill).max(0.0) + used;
-            c.debt = c.debt.min(2.0 * burst);
-            c.oldest += 1;
-            if idle {
-                c.oldest = slot.saturating_sub(SLOTS);
-            }
+        for (_, s) in c.slots.range(c.learned..slot).filter(|(_, s)| s.known) {
+            let all = s.own + s.others;
+            let usual = c.usual.unwrap_or(all);
+            c.usual = Some(usual + USUAL_STEP * (all - usual));
+            c.own_seen += s.own;
+            c.all_seen += all;
+        }
+        c.learned = slot;
+        if c.all_seen > 4.0 * burst {
+            c.own_seen /= 2.0;
+            c.all_seen /= 2.0;
+        }
+        let from = slot.saturating_sub(2 * SLOTS);
+        while c.oldest < from {
+            // What was never read may have been used up elsewhere: no credit is drawn from it.
+            c.debt = match c.slots.remove(&c.oldest).filter(|s| s.last) {
+                Some(s) => (c.debt - refill).max(0.0) + s.own + s.others,
+                None => burst,
+            };
+            c.oldest = if c.slots.is_empty() { from } else { c.oldest + 1 };
         }
     }
 
-    /// Units held by the customer's window. Without `guess` only what is known, else also what is likely.
-    /// A burst that came before the window leaves room as the store refills: the lower of both holds.
-    fn sum(&self, now: Duration, customer: &CustomerId, guess: bool, told: Option<f64>) -> f64 {
+    /// Units held by the customer's window: without `guess` as far as known, else as is likely. Where the
+    /// window holds a burst that came after a quiet time, the store behind the quota refills as it drains:
+    /// the finished slots tell that as well, and the lower of the two holds.
+    fn sum(&self, customer: &CustomerId, guess: bool) -> f64 {
         let c = &self.customers[customer];
         let p = &self.set.plans[c.plan.0];
         let len = self.slot_len(c.plan);
-        let at = now.as_secs_f64() / len;
+        let at = self.now.as_secs_f64() / len;
         let (slot, inside) = (at as u64, at.fract());
-        let share = if guess { c.share(p.burst) } else { 1.0 };
+        let usual = c.usual.unwrap_or(USUAL_FIRST * p.rate * len);
+        let share = c.share(p.burst);
         let (mut window, mut debt) = (0.0, c.debt);
         for k in c.oldest..=slot {
-            let mut used = c.slots.get(&k).map_or(0.0, |s| s.all(share));
-            if let Some(t) = told.filter(|_| k == slot) {
-                used = t;
-            } else if guess && self.ask >= ASK_READS && k < slot && !c.slots.get(&k).is_some_and(|s| s.last) {
-                used = used.max(c.usual.unwrap_or(p.burst));
-            }
-            // The oldest slot slides out as the running one fills.
-            window += if k + SLOTS == slot { used * (1.0 - inside) } else { used };
+            let s = c.slots.get(&k).unwrap_or(&NO_SLOT);
             let run = if k == slot { inside } else { 1.0 };
+            let mut used = s.own + s.others;
+            if guess && !s.last && !(k == slot && s.told == self.now) {
+                let others = (usual * run * (1.0 - share)).max(ALIKE * s.own * (1.0 / share - 1.0));
+                used = s.own + others.max(s.others);
+            }
+            if k + SLOTS >= slot {
+                // The oldest slot slides out as the running one fills.
+                window += if k + SLOTS == slot { used * (1.0 - inside) } else { used };
+            }
             debt = (debt - p.rate * len * run).max(0.0) + used;
         }
-        if c.oldest + SLOTS > slot + 1 { window } else { window.min(debt) }
+        window.min(debt)
     }
 
-    fn told(
-        &mut self,
-        now: Duration,
-        name: String,
-        outcome: Outcome,
-        total: f64,
-        latency: Duration,
-        out: &mut Vec<Action>,
-    ) {
+    /// Finished slots, from `from` on, whose final total is there to be read.
+    fn unread(&self, customer: &CustomerId, from: u64) -> Vec<u64> {
+        let c = &self.customers[customer];
+        let open = |k: &u64| {
+            let s = c.slots.get(k).unwrap_or(&NO_SLOT);
+            !s.last && !s.failed && (self.settled(c.plan, *k, self.now) || s.told.is_zero())
+        };
+        (c.oldest.max(from)..self.slot_of(c.plan)).filter(open).collect()
+    }
+
+    fn told(&mut self, name: String, outcome: Outcome, total: f64, latency: Duration) {
         let timeout = self.set.counter.as_ref().map_or(Duration::ZERO, |c| c.timeout);
         let Some(queue) = self.calls.get_mut(&name) else { return };
         let Some(call) = queue.pop_front() else { return };
+        let ok = outcome == Outcome::Ok;
+        // Less than this gateway alone has added: the counter lost it, so it is owed anew.
+        let lost = if ok { (call.upto - total).max(0.0) } else { call.add };
+        let lost = if ok && lost > EPS || outcome.never_ran() { lost } else { 0.0 };
+        queue.iter_mut().for_each(|c| c.upto -= lost);
         if queue.is_empty() {
             self.calls.remove(&name);
         }
-        let ok = outcome == Outcome::Ok;
         // A crowded counter answers many too late, and works on them all the same: follow its line, not
         // only its failures, or half of the calls are lost while every gateway pushes.
         let prompt = latency < timeout.mul_f64(ASK_PROMPT);
         let step = if !ok { ASK_FALLS } else { if prompt { ASK_GROWS } else { ASK_CREEPS } };
         self.ask = (self.ask * step).clamp(ASK_LEAST, 1.0);
         let Some(c) = self.customers.get(&call.customer) else { return };
-        let (len, burst) = (self.slot_len(c.plan), self.set.plans[c.plan.0].burst);
-        let grace = timeout * FINAL_AFTER;
-        let end = Duration::from_secs_f64((call.slot + 1) as f64 * len) + grace;
+        let last = ok && call.read && self.settled(c.plan, call.slot, call.at);
         let c = self.customers.get_mut(&call.customer).expect("seen above");
         if let Some(s) = c.slots.get_mut(&call.slot) {
             s.reading &= !call.read;
+            s.failed |= call.read && !ok;
+            s.put -= lost;
             if ok {
-                s.confirmed += call.add;
-                if total + EPS < s.confirmed {
-                    // Less than this gateway alone has added: the counter lost it, so it is owed anew.
-                    s.put -= s.confirmed - total;
-                    s.confirmed = total;
-                }
-                (s.total, s.own_then, s.known) = (total.max(0.0), s.own, true);
-                if call.read && call.at >= end && !s.last {
-                    s.last = true;
-                    c.own_seen += s.own;
-                    c.all_seen += s.total.max(s.own);
-                }
-                c.usual = Some(total.max(c.usual.unwrap_or(0.0) * USUAL_FADES));
-                if c.all_seen > 4.0 * burst {
-                    c.own_seen /= 2.0;
-                    c.all_seen /= 2.0;
-                }
-            } else if outcome.never_ran() {
-                s.put -= call.add;
+                s.others = if lost > 0.0 { s.others } else { total - call.upto };
+                (s.known, s.told, s.last) = (true, self.now, s.last || last);
+            }
+            if let Some(inv) = call.asks.and_then(|id| self.invs.get(&id)) {
+                s.asking -= inv.units;
             }
         }
         if let Some(id) = call.asks.filter(|id| self.invs.contains_key(id)) {
-            if !ok {
-                self.invs.get_mut(&id).expect("checked").added = outcome == Outcome::TimedOut;
-                self.verdict(now, id, false, out);
-            } else {
-                self.weigh(now, id, total, &call.customer, out);
-            }
-        } else if call.read {
-            let c = self.customers.get_mut(&call.customer).expect("seen above");
-            if !c.slots.values().any(|s| s.reading) {
-                for id in std::mem::take(&mut c.waiting) {
-                    if self.invs.get(&id).is_some_and(|i| i.stage == Stage::Asked) {
-                        self.verdict(now, id, true, out);
-                    }
+            self.verdict(id, ok);
+        } else if call.read && !c.slots.values().any(|s| s.reading) {
+            for id in std::mem::take(&mut c.waiting) {
+                if self.invs.get(&id).is_some_and(|i| i.stage == Stage::Asked) {
+                    self.verdict(id, true);
                 }
             }
         }
     }
 
-    /// The add is answered: decide, after reading the finished slots where they can matter.
-    fn weigh(&mut self, now: Duration, id: InvId, total: f64, customer: &CustomerId, out: &mut Vec<Action>) {
-        self.roll(now, customer);
-        let c = &self.customers[customer];
-        let burst = self.set.plans[c.plan.0].burst;
-        let slot = self.slot_of(now, c.plan);
-        let asked = self.invs[&id].slot;
-        let told = (asked == slot).then_some(total);
-        let likely = self.sum(now, customer, true, told);
-        if likely > UNREAD_UP_TO * burst && self.ask >= ASK_READS {
-            let len = self.slot_len(c.plan);
-            let grace = self.set.counter.as_ref().map_or(Duration::ZERO, |c| c.timeout) * FINAL_AFTER;
-            let mut reads = Vec::new();
-            let c = self.customers.get_mut(customer).expect("seen above");
-            for k in c.oldest..slot {
-                let s = c.slots.entry(k).or_default();
-                let ended = now >= Duration::from_secs_f64((k + 1) as f64 * len) + grace;
-                if !s.last && !s.reading && (ended || !s.known) {
-                    s.reading = true;
-                    reads.push(k);
-                }
+    /// Decides; with a counter that answers, finished slots are read first where they can matter.
+    fn verdict(&mut self, id: InvId, answered: bool) {
+        let inv = &self.invs[&id];
+        let (customer, units, plan, slot) = (inv.customer.clone(), inv.units, inv.plan, inv.slot);
+        self.roll(&customer);
+        let (burst, sum) = (self.set.plans[plan.0].burst, self.sum(&customer, true) + units);
+        if answered && self.ask >= ASK_READS && sum > UNREAD_UP_TO * burst {
+            let mut reads = self.unread(&customer, self.slot_of(plan).saturating_sub(SLOTS));
+            if reads.is_empty() && sum > burst {
+                reads = self.unread(&customer, 0);
             }
-            if c.slots.values().any(|s| s.reading) {
+            let c = self.customers.get_mut(&customer).expect("has an invocation");
+            if !reads.is_empty() {
                 c.waiting.push(id);
                 for k in reads {
-                    self.call(now, customer.clone(), k, 0.0, None, true, out);
+                    let c = self.customers.get_mut(&customer).expect("has an invocation");
+                    if !std::mem::replace(&mut c.slots.entry(k).or_default().reading, true) {
+                        self.call(customer.clone(), k, 0.0, None, true);
+                    }
                 }
                 return;
             }
         }
-        self.verdict(now, id, true, out);
-    }
-
-    /// `told`: the running slot's total holds this invocation's units already.
-    fn verdict(&mut self, now: Duration, id: InvId, told: bool, out: &mut Vec<Action>) {
-        let inv = &self.invs[&id];
-        let (customer, units, plan, slot) = (inv.customer.clone(), inv.units, inv.plan, inv.slot);
-        self.roll(now, &customer);
-        let burst = self.set.plans[plan.0].burst;
-        let counted = told && self.customers[&customer].slots.get(&slot).is_some_and(|s| s.known);
-        let sum = self.sum(now, &customer, !told, None) + if counted { 0.0 } else { units };
         if sum > burst + EPS {
-            return self.throttle(now, id, out);
+            return self.throttle(id);
         }
         let c = self.customers.get_mut(&customer).expect("has an invocation");
-        let s = c.slots.entry(slot).or_default();
-        s.own += units;
-        if counted {
-            s.own_then += units;
-        }
+        c.slots.entry(slot).or_default().own += units;
         self.invs.get_mut(&id).expect("held").admitted = true;
-        self.enqueue(now, id, out);
+        self.enqueue(id);
     }
 
     /// Takes back what an invocation added that was never sent on.
-    fn undo(&mut self, now: Duration, id: InvId, out: &mut Vec<Action>) {
-        let Some(inv) = self.invs.get_mut(&id) else { return };
-        if !inv.deliveries.is_empty() {
-            return;
-        }
+    fn undo(&mut self, id: InvId) {
+        let Some(inv) = self.invs.get_mut(&id).filter(|i| i.deliveries.is_empty()) else { return };
         let (customer, slot, units) = (inv.customer.clone(), inv.slot, inv.units);
         let (added, admitted) = (std::mem::take(&mut inv.added), std::mem::take(&mut inv.admitted));
-        let Some(c) = self.customers.get_mut(&customer) else { return };
-        let Some(s) = c.slots.get_mut(&slot) else { return };
+        let Some(s) = self.customers.get_mut(&customer).and_then(|c| c.slots.get_mut(&slot)) else { return };
         if admitted {
-            s.own = (s.own - units).max(0.0);
-            s.own_then = s.own_then.min(s.own);
+            s.own -= units;
         }
-        if added {
-            s.put -= units;
-            s.total = (s.total - units).max(0.0);
-            self.call(now, customer, slot, -units, None, false, out);
+        if added && s.put > s.own + s.asking + EPS {
+            let add = (s.own + s.asking - s.put).max(-units);
+            self.call(customer, slot, add, None, false);
         }
     }
 
     // ---- Final answers.
 
-    fn throttle(&mut self, now: Duration, id: InvId, out: &mut Vec<Action>) {
+    fn throttle(&mut self, id: InvId) {
         let inv = &self.invs[&id];
         if !self.may_throttle(inv) {
-            out.push(Action::Error { inv: id });
+            self.out.push(Action::Error { inv: id });
         } else {
             let retry_after = self.set.limits.retry_after.map(|most| {
                 let p = self.set.plans.get(inv.plan.0).filter(|p| p.rate > 0.0 && !inv.admitted);
-                let over = p.map_or(0.0, |p| {
-                    (self.sum(now, &inv.customer, true, None) + inv.units - p.burst) / p.rate
-                });
+                let over = p.map_or(0.0, |p| (self.sum(&inv.customer, true) + inv.units - p.burst) / p.rate);
                 let pressed = self.expect(0.5, inv.op);
                 Duration::from_secs_f64(over.max(pressed)).min(most)
             });
-            out.push(Action::Throttle { inv: id, retry_after });
+            self.out.push(Action::Throttle { inv: id, retry_after });
         }
-        self.forget(now, id, out);
+        self.forget(id);
     }
 
-    fn forget(&mut self, now: Duration, id: InvId, out: &mut Vec<Action>) {
-        self.undo(now, id, out);
+    fn forget(&mut self, id: InvId) {
+        self.undo(id);
         let Some(inv) = self.invs.remove(&id) else { return };
         self.line.remove(&(inv.arrived, id));
         for (no, d) in inv.deliveries.iter().enumerate().filter(|(_, d)| d.out) {
             if self.set.limits.cancel && !inv.started {
-                out.push(Action::Cancel { inv: id, no: DeliveryNo(no as u32) });
+                self.out.push(Action::Cancel { inv: id, no: DeliveryNo(no as u32) });
             }
             if let Some(t) = self.tgts.get_mut(&d.tgt) {
                 t.out.remove(&(d.sent, id, no as u32));
@@ -665,11 +630,11 @@
     }
 
     /// Rules 1, 2 and 3 and the site's limits, for one delivery more.
-    fn may_deliver(&self, now: Duration, inv: &Inv, tgt: &Tgt) -> bool {
+    fn may_deliver(&self, inv: &Inv, tgt: &Tgt) -> bool {
         let out = inv.deliveries.iter().any(|d| d.out);
         if tgt.entry.health != Health::Up
             || inv.started
-            || now >= inv.deadline
+            || self.now >= inv.deadline
             || inv.deliveries.len() as u32 >= self.set.limits.tries
             || (out && !self.set.limits.parallel)
         {
@@ -685,7 +650,7 @@
                     Group::Zone => d.zone == tgt.entry.zone,
                     Group::Cell => d.zone == tgt.entry.zone && d.cell == tgt.entry.cell,
                 };
-                same && now < d.sent + window
+                same && self.now < d.sent + window
             }),
         }
     }
@@ -702,16 +667,21 @@
         (inv.arrived + self.set.operations[inv.op.0].latency_objective).min(inv.deadline)
     }
 
-    /// Into the line, unless what stands before it already uses up its time.
-    fn enqueue(&mut self, now: Duration, id: InvId, out: &mut Vec<Action>) {
+    /// What stands in line before it would use up too much of its time.
+    fn pressed(&self, id: InvId) -> bool {
         let inv = &self.invs[&id];
-        let usual = self.expect(0.5, inv.op);
-        let left = self.objective(inv).saturating_sub(now).as_secs_f64();
+        let left = self.objective(inv).saturating_sub(self.now).as_secs_f64();
         let busy: usize = self.tgts.values().map(|t| t.out.len()).sum();
         let wait = self.line.len() as f64 * self.lat.mean().unwrap_or(0.0) / busy.max(1) as f64;
-        if usual > left || (busy > 0 && wait > LINE_PART * left) {
-            return self.throttle(now, id, out);
+        self.expect(0.5, inv.op) > left || (busy > 0 && wait > LINE_PART * left)
+    }
+
+    fn enqueue(&mut self, id: InvId) {
+        if self.pressed(id) {
+            return self.throttle(id);
         }
+        let inv = &self.invs[&id];
+        let usual = self.expect(0.5, inv.op);
         let give_up = self.objective(inv).saturating_sub(Duration::from_secs_f64(usual));
         self.line.insert((inv.arrived, id));
         self.due.insert((give_up, Due::Objective(id)));
@@ -719,8 +689,8 @@
     }
 
     /// Present part of a backend's full capacity, at least.
-    fn warmth(&self, now: Duration, e: &Entry) -> f64 {
-        let age = now.saturating_sub(e.since).as_secs_f64() / self.set.cold_for.as_secs_f64().max(1e-9);
+    fn warmth(&self, e: &Entry) -> f64 {
+        let age = self.now.saturating_sub(e.since).as_secs_f64() / self.set.cold_for.as_secs_f64().max(1e-9);
         if e.since.is_zero() || age >= 1.0 {
             1.0
         } else {
@@ -729,24 +699,24 @@
     }
 
     /// Units a second that go from here to a warm backend, on the average.
-    fn warm_flow(&self, now: Duration) -> f64 {
+    fn warm_flow(&self) -> f64 {
         let warm = self.tgts.values().filter(|t| t.entry.health == Health::Up);
-        let warm = warm.filter(|t| self.warmth(now, &t.entry) >= 1.0).count().max(1) as f64;
-        let run = now.saturating_sub(self.flow.0).as_secs_f64();
+        let warm = warm.filter(|t| self.warmth(&t.entry) >= 1.0).count().max(1) as f64;
+        let run = self.now.saturating_sub(self.flow.0).as_secs_f64();
         (self.flow.1 + self.flow.2) / warm / (FLOW_SPAN.as_secs_f64() + run)
     }
 
     /// The best backend with a free place that this invocation may go to.
-    fn choose(&mut self, now: Duration, id: InvId) -> Option<TgtId> {
+    fn choose(&mut self, id: InvId) -> Option<TgtId> {
         let inv = &self.invs[&id];
         let usual = self.expect(0.5, inv.op);
-        let (flow, span) = (self.warm_flow(now), self.set.overload_for);
+        let (flow, span) = (self.warm_flow(), self.set.overload_for);
         let mut best: Option<(f64, TgtId)> = None;
         for (&t, tgt) in &self.tgts {
-            if now < tgt.blocked || !self.may_deliver(now, inv, tgt) {
+            if self.now < tgt.blocked || !self.may_deliver(inv, tgt) {
                 continue;
             }
-            let warm = self.warmth(now, &tgt.entry);
+            let warm = self.warmth(&tgt.entry);
             let places = if warm < 1.0 { (tgt.places * warm).min(PLACES_START * warm) } else { tgt.places };
             if tgt.out.len() as f64 + 1.0 > places.max(1.0) {
                 continue;
@@ -755,14 +725,15 @@
                 // Pushed over by all together, it stays down: this gateway keeps to its part of the budget.
                 let budget =
                     COLD_PART * self.set.overload_factor * warm * flow * span.as_secs_f64().max(1e-3);
-                let sent: f64 = tgt.cold_sent.iter().filter(|(at, _)| *at + span > now).map(|(_, u)| u).sum();
+                let sent: f64 =
+                    tgt.cold_sent.iter().filter(|(at, _)| *at + span > self.now).map(|(_, u)| u).sum();
                 if sent > 0.0 && sent + inv.units > budget || self.rng.random::<f64>() >= warm {
                     continue;
                 }
             }
             let lat = tgt.lat.mean().unwrap_or(usual);
             let silent =
-                tgt.out.first().map_or(0.0, |o| now.saturating_sub(o.0.max(tgt.heard)).as_secs_f64());
+                tgt.out.first().map_or(0.0, |o| self.now.saturating_sub(o.0.max(tgt.heard)).as_secs_f64());
             if silent > SILENT * lat.max(usual) {
                 continue; // Stalled, cut off or gone unseen: what it holds shows first whether it lives.
             }
@@ -776,7 +747,7 @@
         best.map(|(_, t)| t)
     }
 
-    fn pump(&mut self, now: Duration, out: &mut Vec<Action>) {
+    fn pump(&mut self) {
         let mut next = self.line.first().copied();
         let mut misses = 0;
         while let Some((at, id)) = next {
@@ -790,8 +761,8 @@
             if full {
                 continue;
             }
-            match self.choose(now, id) {
-                Some(tgt) => self.deliver(now, id, tgt, out),
+            match self.choose(id) {
+                Some(tgt) => self.deliver(id, tgt),
                 None => {
                     misses += 1;
                     if misses > 2 {
@@ -802,43 +773,43 @@
         }
     }
 
-    fn deliver(&mut self, now: Duration, id: InvId, tgt: TgtId, out: &mut Vec<Action>) {
+    fn deliver(&mut self, id: InvId, tgt: TgtId) {
         let inv = &self.invs[&id];
         let (first, units, op) = (inv.deliveries.is_empty(), inv.units, inv.op);
         let p = self.set.plans.get(inv.plan.0);
         if let Some(p) = p.filter(|p| first && p.ceiling_rate > 0.0) {
             let c = self.customers.get_mut(&inv.customer).expect("has an invocation");
-            let earned = p.ceiling_rate / c.spread * (now - c.ceiling_at).as_secs_f64();
-            (c.ceiling, c.ceiling_at) = ((c.ceiling + earned).min(p.ceiling_burst / c.spread), now);
+            let earned = p.ceiling_rate / c.spread * (self.now - c.ceiling_at).as_secs_f64();
+            (c.ceiling, c.ceiling_at) = ((c.ceiling + earned).min(p.ceiling_burst / c.spread), self.now);
             if c.ceiling < units {
-                return self.throttle(now, id, out);
+                return self.throttle(id);
             }
             c.ceiling -= units;
         }
         // Time-outs only where another go may follow one, and only while time is left for it.
-        let left = self.objective(inv).saturating_sub(now).as_secs_f64();
+        let left = self.objective(inv).saturating_sub(self.now).as_secs_f64();
         let (usual, slow) = (self.expect(0.75, op), self.expect(0.95, op));
         let again = self.set.operations[op.0].repeat != Repeat::NonIdempotent
             && (inv.deliveries.len() as u32) + 1 < self.set.limits.tries;
         let patience = (PATIENCE * slow).max(left - PATIENCE * usual);
         let timeout = (again && !self.set.limits.parallel && patience + usual < left)
             .then(|| Duration::from_secs_f64(patience));
-        let copy_at = now + Duration::from_secs_f64(PATIENCE * slow);
-        let warm = self.warmth(now, &self.tgts[&tgt].entry) >= 1.0;
+        let copy_at = self.now + Duration::from_secs_f64(PATIENCE * slow);
+        let warm = self.warmth(&self.tgts[&tgt].entry) >= 1.0;
         let inv = self.invs.get_mut(&id).expect("held");
         let t = self.tgts.get_mut(&tgt).expect("chosen from it");
         if warm {
             self.flow.1 += units;
         } else {
-            t.cold_sent.push_back((now, units));
+            t.cold_sent.push_back((self.now, units));
             let span = self.set.overload_for;
-            while t.cold_sent.front().is_some_and(|(at, _)| *at + span <= now) {
+            while t.cold_sent.front().is_some_and(|(at, _)| *at + span <= self.now) {
                 t.cold_sent.pop_front();
             }
         }
-        t.out.insert((now, id, inv.deliveries.len() as u32));
+        t.out.insert((self.now, id, inv.deliveries.len() as u32));
         let (zone, cell) = (t.entry.zone, t.entry.cell);
-        inv.deliveries.push(Delivery { tgt, zone, cell, sent: now, out: true, idle: false });
+        inv.deliveries.push(Delivery { tgt, zone, cell, sent: self.now, out: true, idle: false });
         inv.stage = Stage::Sent;
         self.line.remove(&(inv.arrived, id));
         if let Some(c) = self.customers.get_mut(&inv.customer) {
@@ -850,29 +821,25 @@
         if again && self.set.limits.parallel {
             self.due.insert((copy_at, Due::Copy(id)));
         }
-        out.push(Action::Deliver { inv: id, tgt, timeout });
+        self.out.push(Action::Deliver { inv: id, tgt, timeout });
     }
 
-    #[allow(clippy::too_many_arguments)]
     fn ended(
         &mut self,
-        now: Duration,
-        id: InvId,
-        no: DeliveryNo,
+        (id, no): (InvId, DeliveryNo),
         tgt: TgtId,
         outcome: Outcome,
         latency: Duration,
         closed: bool,
         true_units: Option<f64>,
-        out: &mut Vec<Action>,
     ) {
         if let Some(t) = self.tgts.get_mut(&tgt) {
             let full = t.out.len() as f64 + 1.0 > t.places;
-            t.out.remove(&(now.saturating_sub(latency), id, no.0));
+            t.out.remove(&(self.now.saturating_sub(latency), id, no.0));
             if let Some(d) = self.invs.get(&id).and_then(|i| i.deliveries.get(no.0 as usize)) {
                 t.out.remove(&(d.sent, id, no.0));
             }
-            t.heard = if outcome == Outcome::TimedOut { t.heard } else { now };
+            t.heard = if outcome == Outcome::TimedOut { t.heard } else { self.now };
             match outcome {
                 Outcome::Ok => {
                     self.lat.note(latency, FLEET_SAMPLES);
@@ -895,11 +862,7 @@
                     t.places = (t.places * PLACES_FALL).max(1.0);
                     let back = BACK_FIRST * 2u32.pow(t.fails.min(6));
                     t.fails += u32::from(outcome != Outcome::Full);
-                    t.blocked = t.blocked.max(now + back.min(BACK_MOST));
-                    if outcome != Outcome::Full {
-                        // Its process may have died, to come back cold seconds before the list says so.
-                        t.entry.since = t.entry.since.max(now);
-                    }
+                    t.blocked = t.blocked.max(self.now + back.min(BACK_MOST));
                 }
                 Outcome::Failed | Outcome::Canceled | Outcome::Ignored => {}
             }
@@ -912,102 +875,100 @@
             }
         }
         if let (true, Some(units)) = (self.set.settles, true_units) {
-            self.settle(now, id, units, out);
+            self.settle(id, units);
         }
         if closed {
-            return self.forget(now, id, out);
+            return self.forget(id);
         }
         let inv = &self.invs[&id];
         if inv.stage == Stage::Sent && !inv.deliveries.iter().any(|d| d.out) {
-            self.again_or_end(now, id, out);
+            self.again_or_end(id);
         }
     }
 
     /// Settled units: the difference goes to the running slot.
-    fn settle(&mut self, now: Duration, id: InvId, units: f64, out: &mut Vec<Action>) {
+    fn settle(&mut self, id: InvId, units: f64) {
         let inv = &self.invs[&id];
         let (customer, plan, diff) = (inv.customer.clone(), inv.plan, units - inv.units);
         if diff.abs() < EPS || !inv.admitted || self.set.plans.get(plan.0).is_none_or(|p| p.rate <= 0.0) {
             return;
         }
-        let slot = self.slot_of(now, plan);
+        let slot = self.slot_of(plan);
         let s = self.customers.get_mut(&customer).expect("has an invocation").slots.entry(slot).or_default();
         s.own += diff;
         s.put += diff;
         if self.set.counter.is_some() {
-            self.call(now, customer, slot, diff, None, false, out);
+            self.call(customer, slot, diff, None, false);
         }
     }
 
     /// No delivery is out: back into the line if a further one can still be of use, else a final answer.
-    fn again_or_end(&mut self, now: Duration, id: InvId, out: &mut Vec<Action>) {
+    fn again_or_end(&mut self, id: InvId) {
         let inv = &self.invs[&id];
         let late = self.set.operations[inv.op.0].late_value > 0.0;
         let until = if late { inv.deadline } else { self.objective(inv) };
-        let left = until.saturating_sub(now).as_secs_f64();
-        let can = self.tgts.values().any(|t| self.may_deliver(now, inv, t));
+        let left = until.saturating_sub(self.now).as_secs_f64();
+        let can = self.tgts.values().any(|t| self.may_deliver(inv, t));
         if can && left > self.expect(0.5, inv.op) {
             self.line.insert((inv.arrived, id));
             let give_up = until.saturating_sub(Duration::from_secs_f64(self.expect(0.5, inv.op)));
-            self.due.insert((give_up.max(now), Due::Objective(id)));
+            self.due.insert((give_up.max(self.now), Due::Objective(id)));
             self.invs.get_mut(&id).expect("held").stage = Stage::InLine;
         } else {
-            self.throttle(now, id, out);
+            self.throttle(id);
         }
     }
 
-    fn started(&mut self, id: InvId, no: DeliveryNo, out: &mut Vec<Action>) {
+    fn started(&mut self, id: InvId, no: DeliveryNo) {
         let Some(inv) = self.invs.get_mut(&id) else { return };
         inv.started = true;
         inv.stage = Stage::Sent;
         self.line.remove(&(inv.arrived, id));
         for (k, d) in inv.deliveries.iter().enumerate() {
             if d.out && k as u32 != no.0 && self.set.limits.cancel {
-                out.push(Action::Cancel { inv: id, no: DeliveryNo(k as u32) });
+                self.out.push(Action::Cancel { inv: id, no: DeliveryNo(k as u32) });
             }
         }
     }
 
-    fn run_due(&mut self, now: Duration, out: &mut Vec<Action>) {
+    fn run_due(&mut self) {
         while let Some(&(at, due)) = self.due.first()
-            && at <= now
+            && at <= self.now
         {
             self.due.pop_first();
             match due {
-                Due::Final(id) if self.invs.get(&id).is_some_and(|i| !i.started) => {
-                    self.throttle(now, id, out)
-                }
+                Due::Final(id) if self.invs.get(&id).is_some_and(|i| !i.started) => self.throttle(id),
                 Due::Objective(id) if self.invs.get(&id).is_some_and(|i| i.stage == Stage::InLine) => {
-                    self.throttle(now, id, out)
+                    self.throttle(id)
                 }
-                Due::Copy(id) => self.copy(now, id, out),
+                Due::Copy(id) => self.copy(id),
                 Due::Look => self.looks = false,
-                Due::Watch => out.push(Action::Watch { on: true }),
+                Due::Watch => self.out.push(Action::Watch { on: true }),
                 _ => {}
             }
         }
     }
 
     /// A second copy for a delivery that takes too long; never while work waits in line.
-    fn copy(&mut self, now: Duration, id: InvId, out: &mut Vec<Action>) {
+    fn copy(&mut self, id: InvId) {
         let Some(inv) = self.invs.get(&id) else { return };
-        let left = self.objective(inv).saturating_sub(now).as_secs_f64();
+        let left = self.objective(inv).saturating_sub(self.now).as_secs_f64();
         let out_now = inv.deliveries.iter().filter(|d| d.out).count();
         let useful = inv.stage == Stage::Sent && out_now == 1 && left > self.expect(0.5, inv.op);
         if !useful || !self.line.is_empty() || self.copies < 1.0 {
             return;
         }
-        if let Some(tgt) = self.choose(now, id)
+        if let Some(tgt) = self.choose(id)
             && inv_untried(&self.invs[&id], tgt)
         {
             self.copies -= 1.0;
-            self.deliver(now, id, tgt, out);
+            self.deliver(id, tgt);
         }
     }
 
-    fn listed(&mut self, now: Duration, form: ListForm, entries: &[Entry], out: &mut Vec<Action>) {
+    fn listed(&mut self, form: ListForm, entries: &[Entry]) {
         if form == ListForm::Unavailable {
-            self.due.insert((now + WATCH_AGAIN, Due::Watch));
+            self.due.insert((self.now + WATCH_AGAIN, Due::Watch));
             return;
         }
         if form != ListForm::Update {
@@ -1016,35 +977,36 @@
             }
         }
         for e in entries {
-            let t = self.tgts.entry(e.tgt).or_insert_with(|| Tgt::new(e.clone(), now));
-            if e.since > t.entry.since {
+            let t = self.tgts.entry(e.tgt).or_insert_with(|| Tgt::new(e.clone(), self.now));
+            if t.entry.since != e.since {
                 // A new process: nothing measured of the last one holds.
                 let held = std::mem::take(&mut t.out);
-                *t = Tgt { out: held, ..Tgt::new(e.clone(), now) };
+                *t = Tgt { out: held, ..Tgt::new(e.clone(), self.now) };
             }
-            t.entry = Entry { since: t.entry.since.max(e.since), ..e.clone() };
+            t.entry = e.clone();
         }
         self.tgts.retain(|_, t| t.entry.health != Health::Gone || !t.out.is_empty());
         if form == ListForm::Restored && self.set.discovery == Discovery::Subscribed {
-            out.push(Action::Watch { on: true });
+            self.out.push(Action::Watch { on: true });
         }
     }
 
     /// Now and then: forgets idle customers, turns the flow's span.
-    fn sweep(&mut self, now: Duration) {
-        if now >= self.flow.0 + FLOW_SPAN {
-            self.flow = (now, 0.0, self.flow.1);
+    fn sweep(&mut self) {
+        if self.now >= self.flow.0 + FLOW_SPAN {
+            self.flow = (self.now, 0.0, self.flow.1);
         }
-        if now < self.swept + FLOW_SPAN {
+        if self.now < self.swept + FLOW_SPAN {
             return;
         }
-        self.swept = now;
+        self.swept = self.now;
         let plans = &self.set.plans;
         self.customers.retain(|_, c| {
             let p = &plans[c.plan.0];
             let window = if p.rate > 0.0 { p.burst / p.rate } else { 0.0 };
             let ceiling = if p.ceiling_rate > 0.0 { p.ceiling_burst / p.ceiling_rate } else { 0.0 };
-            c.held > 0 || now < c.used_at + Duration::from_secs_f64((2.0 * window).max(ceiling)) + FLOW_SPAN
+            c.held > 0
+                || self.now < c.used_at + Duration::from_secs_f64((2.0 * window).max(ceiling)) + FLOW_SPAN
         });
     }
 }
