--- a/src/rules.rs
+++ b/src/rules.rs
@@ -23,7 +23,7 @@
 use crate::interface::*;
 
 /// Slots in a window: finer follows the window closer, but costs a read for each at each gateway.
-const SLOTS: u64 = 4;
+const SLOTS: u64 = 2;
 /// Slots of 60 s at most are kept by the counter; names outlive the window by this many slots.
 const KEEP: u64 = 3;
 const KEEP_MOST: Duration = Duration::from_secs(60);
