Count places for all gateways together; take turns under a cap

Places can now be less than one each, and gateways take turns by the shared clock where a cap has fewer places than gateways. May hurt: a fleet slowed as a whole keeps few places.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -50,9 +50,10 @@
 const ASK_CREEPS: f64 = 1.02;
 /// Reads are left out below this chance of asking: a crowded counter's calls are for adds.
 const ASK_READS: f64 = 0.5;
-/// Places of a backend not known yet, and the most: a few keep any small server busy, none is flooded.
-const PLACES_START: f64 = 4.0;
-const PLACES_MOST: f64 = 64.0;
+/// Places of a backend at all gateways together: at first, at least (a few cores' worth), and at most.
+const PLACES_START: f64 = 12.0;
+const PLACES_LEAST: f64 = 4.0;
+const PLACES_MOST: f64 = 200.0;
 /// Places fall by this at a refusal or time-out.
 const PLACES_FALL: f64 = 0.8;
 /// Places grow up to this many times the fleet's answer time at ease: kinds differ twofold, samples are few.
@@ -76,6 +77,8 @@
 const COLD_PART: f64 = 0.5;
 /// Span over which the flow to warm backends is taken: long against chance, short against load's swing.
 const FLOW_SPAN: Duration = Duration::from_secs(4);
+/// Turns under a cap go round in this part of the latency objective: a wait that leaves time to answer.
+const CYCLE: f64 = 0.5;
 /// While work waits in line, it is looked through at least this often: blocked backends come free by time.
 const LOOK: Duration = Duration::from_millis(20);
 /// A subscription that failed is asked for again after this: discovery is one service for all.
@@ -150,6 +153,8 @@
 struct Customer {
     plan: PlanId,
     spread: f64,
+    /// This gateway's number among the customer's.
+    turn: f64,
     slots: BTreeMap<u64, Slot>,
     /// Units over the refill at the start of the oldest slot kept (an upper bound).
     debt: f64,
@@ -350,7 +355,8 @@
     fn arrived(&mut self, id: InvId, mut inv: Inv, first: GatewayId, spread: u32) {
         let n = self.set.gateways.max(1);
         let spread = if spread == 0 { n } else { spread.min(n) };
-        let inside = (self.set.me.0 + n - first.0 % n) % n < spread;
+        let turn = (self.set.me.0 + n - first.0 % n) % n;
+        let inside = turn < spread;
         let margin = self.set.tick.max(Duration::from_millis(1));
         self.due.insert((inv.deadline.saturating_sub(margin), Due::Final(id)));
         let metered = self.metered(inv.plan);
@@ -362,6 +368,7 @@
             let c = self.customers.entry(customer.clone()).or_insert_with(|| Customer {
                 plan,
                 spread: f64::from(spread),
+                turn: 0.0,
                 slots: BTreeMap::new(),
                 debt: p.burst,
                 oldest: inv.slot.saturating_sub(2 * SLOTS),
@@ -377,7 +384,7 @@
                 ceiling_at: self.now,
                 used_at: self.now,
             });
-            (c.spread, c.used_at) = (f64::from(spread), self.now);
+            (c.spread, c.turn, c.used_at) = (f64::from(spread), f64::from(turn), self.now);
             c.held += 1;
             if !inside {
                 c.ceiling = 0.0; // No part of the ceiling is this gateway's.
@@ -711,13 +718,14 @@
         let inv = &self.invs[&id];
         let usual = self.expect(0.5, inv.op);
         let (flow, span) = (self.warm_flow(), self.set.overload_for);
+        let start = PLACES_START / f64::from(self.set.gateways.max(1));
         let mut best: Option<(f64, TgtId)> = None;
         for (&t, tgt) in &self.tgts {
             if self.now < tgt.blocked || !self.may_deliver(inv, tgt) {
                 continue;
             }
             let warm = self.warmth(&tgt.entry);
-            let places = if warm < 1.0 { (tgt.places * warm).min(PLACES_START * warm) } else { tgt.places };
+            let places = if warm < 1.0 { tgt.places.min(start) * warm } else { tgt.places };
             if tgt.out.len() as f64 + 1.0 > places.max(1.0) {
                 continue;
             }
@@ -747,18 +755,26 @@
         best.map(|(_, t)| t)
     }
 
+    /// A plan's cap on deliveries out at once: this gateway's part of it. Where the cap has fewer places than
+    /// the customer has gateways, they take turns by the shared clock: held for a moment, not beyond quota.
+    fn capped(&self, inv: &Inv) -> bool {
+        let Some(cap) = self.set.plans.get(inv.plan.0).map(|p| p.max_out).filter(|m| *m > 0.0) else {
+            return false;
+        };
+        let c = &self.customers[&inv.customer];
+        let part = (cap * c.share(self.set.plans[inv.plan.0].burst)).round().max(1.0);
+        let cycle = self.set.operations[inv.op.0].latency_objective.as_secs_f64() * CYCLE;
+        let at = (self.now.as_secs_f64() / cycle).fract() * c.spread;
+        f64::from(c.out) >= part || (c.turn - at).rem_euclid(c.spread) >= cap
+    }
+
     fn pump(&mut self) {
         let mut next = self.line.first().copied();
         let mut misses = 0;
         while let Some((at, id)) = next {
             next = self.line.range((at, InvId(id.0 + 1))..).next().copied();
             let inv = &self.invs[&id];
-            let p = self.set.plans.get(inv.plan.0);
-            let full = p.is_some_and(|p| {
-                let c = &self.customers[&inv.customer];
-                p.max_out > 0.0 && f64::from(c.out) >= (p.max_out * c.share(p.burst)).round().max(1.0)
-            });
-            if full {
+            if self.capped(inv) {
                 continue;
             }
             match self.choose(id) {
@@ -848,24 +864,33 @@
                     // Holding more than it works on only makes a backend less efficient: its places follow
                     // how its answer time compares with the fleet's when that was at ease.
                     let ease = (EASE * self.ease / t.lat.mean().unwrap_or(self.ease)).clamp(0.5, 1.0);
-                    if full || ease < 1.0 {
-                        t.places = (t.places + ease - 1.0 + 1.0 / t.places).clamp(1.0, PLACES_MOST);
+                    if ease < 1.0 {
+                        t.places *= 1.0 - (1.0 - ease) / t.places.max(1.0);
+                    } else if full {
+                        t.places += 1.0 / t.places.max(1.0);
                     }
                     let mean = self.lat.mean().unwrap_or(self.ease);
                     self.ease = (self.ease * EASE_DRIFTS).min(mean);
                 }
                 Outcome::TimedOut => {
                     t.lat.note(latency, TGT_SAMPLES);
-                    t.places = (t.places * PLACES_FALL).max(1.0);
+                    t.places *= PLACES_FALL;
                 }
                 Outcome::Full | Outcome::ConnectFailed | Outcome::Reset => {
-                    t.places = (t.places * PLACES_FALL).max(1.0);
+                    t.places *= PLACES_FALL;
                     let back = BACK_FIRST * 2u32.pow(t.fails.min(6));
                     t.fails += u32::from(outcome != Outcome::Full);
                     t.blocked = t.blocked.max(self.now + back.min(BACK_MOST));
                 }
                 Outcome::Failed | Outcome::Canceled | Outcome::Ignored => {}
             }
+            let n = f64::from(self.set.gateways.max(1));
+            t.places = t.places.clamp(PLACES_LEAST / n, PLACES_MOST / n);
+            if t.places < 1.0 && t.out.is_empty() {
+                // Less than one place: it rests in between, so that all gateways together hold few.
+                let rest = t.lat.mean().unwrap_or(0.0) * (1.0 / t.places - 1.0);
+                t.blocked = t.blocked.max(self.now + Duration::from_secs_f64(rest));
+            }
         }
         let Some(inv) = self.invs.get_mut(&id) else { return };
         if let Some(d) = inv.deliveries.get_mut(no.0 as usize).filter(|d| d.out) {
@@ -976,12 +1001,13 @@
                 t.entry.health = Health::Gone; // Absent from a whole list is gone.
             }
         }
+        let start = PLACES_START / f64::from(self.set.gateways.max(1));
         for e in entries {
-            let t = self.tgts.entry(e.tgt).or_insert_with(|| Tgt::new(e.clone(), self.now));
+            let t = self.tgts.entry(e.tgt).or_insert_with(|| Tgt::new(e.clone(), self.now, start));
             if t.entry.since != e.since {
                 // A new process: nothing measured of the last one holds.
                 let held = std::mem::take(&mut t.out);
-                *t = Tgt { out: held, ..Tgt::new(e.clone(), self.now) };
+                *t = Tgt { out: held, ..Tgt::new(e.clone(), self.now, start) };
             }
             t.entry = e.clone();
         }
@@ -1016,11 +1042,11 @@
 }
 
 impl Tgt {
-    fn new(entry: Entry, now: Duration) -> Self {
+    fn new(entry: Entry, now: Duration, places: f64) -> Self {
         Tgt {
             entry,
             out: BTreeSet::new(),
-            places: PLACES_START,
+            places,
             lat: Hist([0.0; BINS]),
             blocked: Duration::ZERO,
             fails: 0,
