Least places five at a backend, falling by a quarter at most an answer

Conclusion: near the least number of places the fleet stays efficient; the right number follows the cores, which nobody tells.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -52,7 +52,7 @@
 const ASK_READS: f64 = 0.5;
 /// Places of a backend at all gateways together: at first, at least (a few cores' worth), and at most.
 const PLACES_START: f64 = 12.0;
-const PLACES_LEAST: f64 = 4.0;
+const PLACES_LEAST: f64 = 5.0;
 const PLACES_MOST: f64 = 200.0;
 /// Places fall by this at a refusal or time-out.
 const PLACES_FALL: f64 = 0.8;
@@ -863,7 +863,7 @@
                     t.fails = 0;
                     // Holding more than it works on only makes a backend less efficient: its places follow
                     // how its answer time compares with the fleet's when that was at ease.
-                    let ease = (EASE * self.ease / t.lat.mean().unwrap_or(self.ease)).clamp(0.5, 1.0);
+                    let ease = (EASE * self.ease / t.lat.mean().unwrap_or(self.ease)).clamp(0.75, 1.0);
                     if ease < 1.0 {
                         t.places *= 1.0 - (1.0 - ease) / t.places.max(1.0);
                     } else if full {
