--- a/src/interface.rs
+++ b/src/interface.rs
@@ -9,16 +9,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct InvId(pub u64);
 /// A backend; the same at every gateway.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TgtId(pub u32);
 /// A customer's name.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CustomerId(pub Arc<str>);
 /// Position of an operation in [`Settings::operations`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct OpId(pub usize);
 /// Position of a plan in [`Settings::plans`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct PlanId(pub usize);
 /// Number of a delivery within its invocation, from 0 in the order sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -124,14 +124,15 @@
     pub overload_for: Duration,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Health {
     Up,
     Draining,
+    #[default]
     Gone,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Entry {
     pub tgt: TgtId,
     pub health: Health,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,6 +27,8 @@
 /// Slots of 60 s at most are kept by the counter; names outlive the window by this many slots.
 const KEEP: u64 = 3;
 const KEEP_MOST: Duration = Duration::from_secs(60);
+/// Longest slot in seconds: two windows of them and the rest are still kept.
+const SLOT_MOST: f64 = 8.0;
 /// A finished slot's total is final this many counter time-outs after its end: add, verdict, undo.
 const FINAL_AFTER: u32 = 3;
 /// Part of the burst up to which guesses stand in for unread slots: half leaves room to be wrong twofold.
@@ -81,6 +83,8 @@
 const CYCLE: f64 = 0.5;
 /// While work waits in line, it is looked through at least this often: blocked backends come free by time.
 const LOOK: Duration = Duration::from_millis(20);
+/// Longest timer asked for; a later one is asked for again then.
+const TIMER_MOST: Duration = Duration::from_secs(3600);
 /// A subscription that failed is asked for again after this: discovery is one service for all.
 const WATCH_AGAIN: Duration = Duration::from_millis(500);
 /// Samples at which a histogram is halved: a backend's follows its last dozen answers, the fleet's hundreds.
@@ -92,7 +96,7 @@
 /// Sums of fractions are equal within this many units.
 const EPS: f64 = 1e-3;
 
-#[derive(Clone)]
+#[derive(Default)]
 struct Hist([f64; BINS]);
 
 impl Hist {
@@ -122,7 +126,7 @@
 }
 
 /// One slot of a customer's window, as far as known here.
-#[derive(Clone, Default)]
+#[derive(Default)]
 struct Slot {
     /// Units admitted here, and those whose add is not answered yet.
     own: f64,
@@ -132,27 +136,17 @@
     /// Units of the other gateways, by the last answer, and when that came.
     others: f64,
     told: Duration,
-    known: bool,
     last: bool,
     reading: bool,
     failed: bool,
 }
 
-const NO_SLOT: Slot = Slot {
-    own: 0.0,
-    asking: 0.0,
-    put: 0.0,
-    others: 0.0,
-    told: Duration::ZERO,
-    known: false,
-    last: false,
-    reading: false,
-    failed: false,
-};
-
+#[derive(Default)]
 struct Customer {
     plan: PlanId,
     spread: f64,
+    /// Part of a ceiling that is this gateway's.
+    part: f64,
     /// This gateway's number among the customer's.
     turn: f64,
     slots: BTreeMap<u64, Slot>,
@@ -165,7 +159,7 @@
     own_seen: f64,
     all_seen: f64,
     /// Invocations whose add is answered and that wait for reads.
-    waiting: Vec<InvId>,
+    waiting: BTreeSet<InvId>,
     held: u32,
     out: u32,
     ceiling: f64,
@@ -173,8 +167,9 @@
     used_at: Duration,
 }
 
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Default, PartialEq)]
 enum Stage {
+    #[default]
     Asked,
     InLine,
     Sent,
@@ -190,6 +185,7 @@
     idle: bool,
 }
 
+#[derive(Default)]
 struct Inv {
     op: OpId,
     plan: PlanId,
@@ -199,12 +195,14 @@
     deadline: Duration,
     stage: Stage,
     slot: u64,
+    /// Its units are in the slot's `asking`, then in `own` once admitted.
     added: bool,
     admitted: bool,
     started: bool,
     deliveries: Vec<Delivery>,
 }
 
+#[derive(Default)]
 struct Tgt {
     entry: Entry,
     out: BTreeSet<(Duration, InvId, u32)>,
@@ -256,7 +254,6 @@
     ease: f64,
     copies: f64,
     flow: (Duration, f64, f64),
-    swept: Duration,
 }
 
 impl Rules {
@@ -275,11 +272,10 @@
             armed: None,
             looks: false,
             ask: 1.0,
-            lat: Hist([0.0; BINS]),
+            lat: Hist::default(),
             ease: f64::MAX,
             copies: 0.0,
             flow: (now, 0.0, 0.0),
-            swept: now,
             set,
         }
     }
@@ -290,25 +286,24 @@
         match event {
             Event::Targets { form, entries } => self.listed(form, &entries),
             Event::Invocation { inv, deadline, op, plan, customer, units, first_gateway, spread, .. } => {
-                let here = Inv {
-                    op,
-                    plan,
-                    customer,
-                    units,
-                    arrived: now,
-                    deadline,
-                    stage: Stage::Asked,
-                    slot: 0,
-                    added: false,
-                    admitted: false,
-                    started: false,
-                    deliveries: Vec::new(),
-                };
-                self.arrived(inv, here, first_gateway, spread);
+                let here = Inv { op, plan, customer, units, arrived: now, deadline, ..Inv::default() };
+                if op.0 < self.set.operations.len() {
+                    self.arrived(inv, here, first_gateway, spread);
+                } else {
+                    self.out.push(Action::Error { inv });
+                }
             }
             Event::FirstByte { inv, no, .. } => self.started(inv, no),
             Event::Outcome { inv, no, tgt, outcome, latency, closed, true_units, .. } => {
-                self.ended((inv, no), tgt, outcome, latency, closed, true_units)
+                self.ended(inv, no, tgt, outcome, latency);
+                if let Some(units) = true_units.filter(|_| self.set.settles) {
+                    self.settle(inv, units);
+                }
+                if closed {
+                    self.forget(inv);
+                } else {
+                    self.again_or_end(inv);
+                }
             }
             Event::Left { inv } => self.forget(inv),
             Event::Total { name, outcome, total, latency } => self.told(name, outcome, total, latency),
@@ -324,8 +319,8 @@
         if let Some(&(at, _)) = self.due.first()
             && self.armed.is_none_or(|a| at < a || a <= now)
         {
-            self.armed = Some(at);
-            let after = at.saturating_sub(now).max(Duration::from_nanos(1));
+            let after = at.saturating_sub(now).clamp(Duration::from_nanos(1), TIMER_MOST);
+            self.armed = Some(now + after);
             self.out.push(Action::Timer { after, token: "due".into() });
         }
         std::mem::take(&mut self.out)
@@ -335,7 +330,7 @@
 
     fn slot_len(&self, plan: PlanId) -> f64 {
         let p = &self.set.plans[plan.0];
-        (p.burst / p.rate / SLOTS as f64).max(self.set.tick.as_secs_f64())
+        (p.burst / p.rate / SLOTS as f64).clamp(self.set.tick.as_secs_f64().max(1e-3), SLOT_MOST)
     }
 
     fn slot_of(&self, plan: PlanId) -> u64 {
@@ -363,32 +358,20 @@
         let (customer, units, plan) = (inv.customer.clone(), inv.units, inv.plan);
         if let Some(p) = self.set.plans.get(plan.0) {
             inv.slot = if metered { self.slot_of(plan) } else { 0 };
-            let parts = if inside { 1.0 / f64::from(spread) } else { 0.0 };
+            let part = if inside { 1.0 / f64::from(spread) } else { 0.0 };
             let lived = (self.now - self.began).as_secs_f64();
             let c = self.customers.entry(customer.clone()).or_insert_with(|| Customer {
                 plan,
-                spread: f64::from(spread),
-                turn: 0.0,
-                slots: BTreeMap::new(),
                 debt: p.burst,
                 oldest: inv.slot.saturating_sub(2 * SLOTS),
                 learned: inv.slot,
-                usual: None,
-                own_seen: 0.0,
-                all_seen: 0.0,
-                waiting: Vec::new(),
-                held: 0,
-                out: 0,
                 // A restart must not hand out the ceiling's store again: a life earns its part from nothing.
-                ceiling: (p.ceiling_rate * lived).min(p.ceiling_burst) * parts,
+                ceiling: (p.ceiling_rate * lived).min(p.ceiling_burst) * part,
                 ceiling_at: self.now,
-                used_at: self.now,
+                ..Customer::default()
             });
-            (c.spread, c.turn, c.used_at) = (f64::from(spread), f64::from(turn), self.now);
+            (c.spread, c.turn, c.part) = (f64::from(spread), f64::from(turn), part);
             c.held += 1;
-            if !inside {
-                c.ceiling = 0.0; // No part of the ceiling is this gateway's.
-            }
         }
         self.invs.insert(id, inv);
         if !metered {
@@ -438,7 +421,7 @@
         let (slot, p) = (self.slot_of(c.plan), &self.set.plans[c.plan.0]);
         let (burst, refill) = (p.burst, p.rate * self.slot_len(c.plan));
         let c = self.customers.get_mut(customer).expect("seen above");
-        for (_, s) in c.slots.range(c.learned..slot).filter(|(_, s)| s.known) {
+        for (_, s) in c.slots.range(c.learned..slot).filter(|(_, s)| !s.told.is_zero()) {
             let all = s.own + s.others;
             let usual = c.usual.unwrap_or(all);
             c.usual = Some(usual + USUAL_STEP * (all - usual));
@@ -446,10 +429,8 @@
             c.all_seen += all;
         }
         c.learned = slot;
-        if c.all_seen > 4.0 * burst {
-            c.own_seen /= 2.0;
-            c.all_seen /= 2.0;
-        }
+        let fade = if c.all_seen > 4.0 * burst { 0.5 } else { 1.0 };
+        (c.own_seen, c.all_seen) = (c.own_seen * fade, c.all_seen * fade);
         let from = slot.saturating_sub(2 * SLOTS);
         while c.oldest < from {
             // What was never read may have been used up elsewhere: no credit is drawn from it.
@@ -472,9 +453,9 @@
         let (slot, inside) = (at as u64, at.fract());
         let usual = c.usual.unwrap_or(USUAL_FIRST * p.rate * len);
         let share = c.share(p.burst);
-        let (mut window, mut debt) = (0.0, c.debt);
+        let (mut window, mut debt, none) = (0.0, c.debt, Slot::default());
         for k in c.oldest..=slot {
-            let s = c.slots.get(&k).unwrap_or(&NO_SLOT);
+            let s = c.slots.get(&k).unwrap_or(&none);
             let run = if k == slot { inside } else { 1.0 };
             let mut used = s.own + s.others;
             if guess && !s.last && !(k == slot && s.told == self.now) {
@@ -492,9 +473,9 @@
 
     /// Finished slots, from `from` on, whose final total is there to be read.
     fn unread(&self, customer: &CustomerId, from: u64) -> Vec<u64> {
-        let c = &self.customers[customer];
+        let (c, none) = (&self.customers[customer], Slot::default());
         let open = |k: &u64| {
-            let s = c.slots.get(k).unwrap_or(&NO_SLOT);
+            let s = c.slots.get(k).unwrap_or(&none);
             !s.last && !s.failed && (self.settled(c.plan, *k, self.now) || s.told.is_zero())
         };
         (c.oldest.max(from)..self.slot_of(c.plan)).filter(open).collect()
@@ -526,10 +507,7 @@
             s.put -= lost;
             if ok {
                 s.others = if lost > 0.0 { s.others } else { total - call.upto };
-                (s.known, s.told, s.last) = (true, self.now, s.last || last);
-            }
-            if let Some(inv) = call.asks.and_then(|id| self.invs.get(&id)) {
-                s.asking -= inv.units;
+                (s.told, s.last) = (self.now, s.last || last);
             }
         }
         if let Some(id) = call.asks.filter(|id| self.invs.contains_key(id)) {
@@ -554,11 +532,10 @@
             if reads.is_empty() && sum > burst {
                 reads = self.unread(&customer, 0);
             }
-            let c = self.customers.get_mut(&customer).expect("has an invocation");
             if !reads.is_empty() {
-                c.waiting.push(id);
                 for k in reads {
                     let c = self.customers.get_mut(&customer).expect("has an invocation");
+                    c.waiting.insert(id);
                     if !std::mem::replace(&mut c.slots.entry(k).or_default().reading, true) {
                         self.call(customer.clone(), k, 0.0, None, true);
                     }
@@ -570,8 +547,10 @@
             return self.throttle(id);
         }
         let c = self.customers.get_mut(&customer).expect("has an invocation");
-        c.slots.entry(slot).or_default().own += units;
-        self.invs.get_mut(&id).expect("held").admitted = true;
+        let (s, inv) = (c.slots.entry(slot).or_default(), self.invs.get_mut(&id).expect("held"));
+        s.own += units;
+        s.asking -= if inv.added { units } else { 0.0 };
+        inv.admitted = true;
         self.enqueue(id);
     }
 
@@ -581,9 +560,8 @@
         let (customer, slot, units) = (inv.customer.clone(), inv.slot, inv.units);
         let (added, admitted) = (std::mem::take(&mut inv.added), std::mem::take(&mut inv.admitted));
         let Some(s) = self.customers.get_mut(&customer).and_then(|c| c.slots.get_mut(&slot)) else { return };
-        if admitted {
-            s.own -= units;
-        }
+        s.own -= if admitted { units } else { 0.0 };
+        s.asking -= if added && !admitted { units } else { 0.0 };
         if added && s.put > s.own + s.asking + EPS {
             let add = (s.own + s.asking - s.put).max(-units);
             self.call(customer, slot, add, None, false);
@@ -622,6 +600,7 @@
         }
         if let Some(c) = self.customers.get_mut(&inv.customer) {
             c.held -= 1;
+            c.used_at = self.now;
             c.out -= inv.deliveries.iter().filter(|d| d.out).count() as u32;
         }
     }
@@ -687,12 +666,16 @@
         if self.pressed(id) {
             return self.throttle(id);
         }
-        let inv = &self.invs[&id];
-        let usual = self.expect(0.5, inv.op);
-        let give_up = self.objective(inv).saturating_sub(Duration::from_secs_f64(usual));
+        self.stand(id, self.objective(&self.invs[&id]));
+    }
+
+    /// Stands in line until it could not be answered by `until` any more.
+    fn stand(&mut self, id: InvId, until: Duration) {
+        let usual = Duration::from_secs_f64(self.expect(0.5, self.invs[&id].op));
+        let inv = self.invs.get_mut(&id).expect("held");
+        inv.stage = Stage::InLine;
         self.line.insert((inv.arrived, id));
-        self.due.insert((give_up, Due::Objective(id)));
-        self.invs.get_mut(&id).expect("held").stage = Stage::InLine;
+        self.due.insert((until.saturating_sub(usual).max(self.now), Due::Objective(id)));
     }
 
     /// Present part of a backend's full capacity, at least.
@@ -705,12 +688,10 @@
         }
     }
 
-    /// Units a second that go from here to a warm backend, on the average.
+    /// Units a second that went of late from here to each warm backend, on the average.
     fn warm_flow(&self) -> f64 {
-        let warm = self.tgts.values().filter(|t| t.entry.health == Health::Up);
-        let warm = warm.filter(|t| self.warmth(&t.entry) >= 1.0).count().max(1) as f64;
         let run = self.now.saturating_sub(self.flow.0).as_secs_f64();
-        (self.flow.1 + self.flow.2) / warm / (FLOW_SPAN.as_secs_f64() + run)
+        (self.flow.1 + self.flow.2) / (FLOW_SPAN.as_secs_f64() + run)
     }
 
     /// The best backend with a free place that this invocation may go to.
@@ -771,20 +752,14 @@
     fn pump(&mut self) {
         let mut next = self.line.first().copied();
         let mut misses = 0;
-        while let Some((at, id)) = next {
+        while let Some((at, id)) = next.filter(|_| misses < 3) {
             next = self.line.range((at, InvId(id.0 + 1))..).next().copied();
-            let inv = &self.invs[&id];
-            if self.capped(inv) {
+            if self.capped(&self.invs[&id]) {
                 continue;
             }
             match self.choose(id) {
                 Some(tgt) => self.deliver(id, tgt),
-                None => {
-                    misses += 1;
-                    if misses > 2 {
-                        break;
-                    }
-                }
+                None => misses += 1,
             }
         }
     }
@@ -792,11 +767,10 @@
     fn deliver(&mut self, id: InvId, tgt: TgtId) {
         let inv = &self.invs[&id];
         let (first, units, op) = (inv.deliveries.is_empty(), inv.units, inv.op);
-        let p = self.set.plans.get(inv.plan.0);
-        if let Some(p) = p.filter(|p| first && p.ceiling_rate > 0.0) {
+        if let Some(p) = self.set.plans.get(inv.plan.0).filter(|p| first && p.ceiling_rate > 0.0) {
             let c = self.customers.get_mut(&inv.customer).expect("has an invocation");
-            let earned = p.ceiling_rate / c.spread * (self.now - c.ceiling_at).as_secs_f64();
-            (c.ceiling, c.ceiling_at) = ((c.ceiling + earned).min(p.ceiling_burst / c.spread), self.now);
+            let earned = p.ceiling_rate * c.part * (self.now - c.ceiling_at).as_secs_f64();
+            (c.ceiling, c.ceiling_at) = ((c.ceiling + earned).min(p.ceiling_burst * c.part), self.now);
             if c.ceiling < units {
                 return self.throttle(id);
             }
@@ -811,11 +785,13 @@
         let timeout = (again && !self.set.limits.parallel && patience + usual < left)
             .then(|| Duration::from_secs_f64(patience));
         let copy_at = self.now + Duration::from_secs_f64(PATIENCE * slow);
-        let warm = self.warmth(&self.tgts[&tgt].entry) >= 1.0;
+        let ready = |t: &&Tgt| t.entry.health == Health::Up && self.warmth(&t.entry) >= 1.0;
+        let warm = ready(&&self.tgts[&tgt]);
+        let fleet = self.tgts.values().filter(ready).count().max(1) as f64;
         let inv = self.invs.get_mut(&id).expect("held");
         let t = self.tgts.get_mut(&tgt).expect("chosen from it");
         if warm {
-            self.flow.1 += units;
+            self.flow.1 += units / fleet;
         } else {
             t.cold_sent.push_back((self.now, units));
             let span = self.set.overload_for;
@@ -828,27 +804,15 @@
         inv.deliveries.push(Delivery { tgt, zone, cell, sent: self.now, out: true, idle: false });
         inv.stage = Stage::Sent;
         self.line.remove(&(inv.arrived, id));
-        if let Some(c) = self.customers.get_mut(&inv.customer) {
-            c.out += 1;
-        }
-        if first {
-            self.copies = (self.copies + COPIES).min(COPIES_SAVED);
-        }
+        self.customers.get_mut(&inv.customer).into_iter().for_each(|c| c.out += 1);
+        self.copies = (self.copies + if first { COPIES } else { 0.0 }).min(COPIES_SAVED);
         if again && self.set.limits.parallel {
             self.due.insert((copy_at, Due::Copy(id)));
         }
         self.out.push(Action::Deliver { inv: id, tgt, timeout });
     }
 
-    fn ended(
-        &mut self,
-        (id, no): (InvId, DeliveryNo),
-        tgt: TgtId,
-        outcome: Outcome,
-        latency: Duration,
-        closed: bool,
-        true_units: Option<f64>,
-    ) {
+    fn ended(&mut self, id: InvId, no: DeliveryNo, tgt: TgtId, outcome: Outcome, latency: Duration) {
         if let Some(t) = self.tgts.get_mut(&tgt) {
             let full = t.out.len() as f64 + 1.0 > t.places;
             t.out.remove(&(self.now.saturating_sub(latency), id, no.0));
@@ -895,33 +859,20 @@
         let Some(inv) = self.invs.get_mut(&id) else { return };
         if let Some(d) = inv.deliveries.get_mut(no.0 as usize).filter(|d| d.out) {
             (d.out, d.idle) = (false, outcome.never_ran());
-            if let Some(c) = self.customers.get_mut(&inv.customer) {
-                c.out -= 1;
-            }
-        }
-        if let (true, Some(units)) = (self.set.settles, true_units) {
-            self.settle(id, units);
-        }
-        if closed {
-            return self.forget(id);
-        }
-        let inv = &self.invs[&id];
-        if inv.stage == Stage::Sent && !inv.deliveries.iter().any(|d| d.out) {
-            self.again_or_end(id);
+            self.customers.get_mut(&inv.customer).into_iter().for_each(|c| c.out -= 1);
         }
     }
 
     /// Settled units: the difference goes to the running slot.
     fn settle(&mut self, id: InvId, units: f64) {
-        let inv = &self.invs[&id];
+        let Some(inv) = self.invs.get(&id) else { return };
         let (customer, plan, diff) = (inv.customer.clone(), inv.plan, units - inv.units);
-        if diff.abs() < EPS || !inv.admitted || self.set.plans.get(plan.0).is_none_or(|p| p.rate <= 0.0) {
+        if diff.abs() < EPS || !inv.admitted || !self.metered(plan) {
             return;
         }
         let slot = self.slot_of(plan);
         let s = self.customers.get_mut(&customer).expect("has an invocation").slots.entry(slot).or_default();
         s.own += diff;
-        s.put += diff;
         if self.set.counter.is_some() {
             self.call(customer, slot, diff, None, false);
         }
@@ -929,16 +880,16 @@
 
     /// No delivery is out: back into the line if a further one can still be of use, else a final answer.
     fn again_or_end(&mut self, id: InvId) {
-        let inv = &self.invs[&id];
+        let Some(inv) = self.invs.get(&id) else { return };
+        if inv.stage != Stage::Sent || inv.deliveries.iter().any(|d| d.out) {
+            return;
+        }
         let late = self.set.operations[inv.op.0].late_value > 0.0;
         let until = if late { inv.deadline } else { self.objective(inv) };
         let left = until.saturating_sub(self.now).as_secs_f64();
         let can = self.tgts.values().any(|t| self.may_deliver(inv, t));
         if can && left > self.expect(0.5, inv.op) {
-            self.line.insert((inv.arrived, id));
-            let give_up = until.saturating_sub(Duration::from_secs_f64(self.expect(0.5, inv.op)));
-            self.due.insert((give_up.max(self.now), Due::Objective(id)));
-            self.invs.get_mut(&id).expect("held").stage = Stage::InLine;
+            self.stand(id, until);
         } else {
             self.throttle(id);
         }
@@ -984,7 +935,7 @@
             return;
         }
         if let Some(tgt) = self.choose(id)
-            && inv_untried(&self.invs[&id], tgt)
+            && self.invs[&id].deliveries.iter().all(|d| d.tgt != tgt)
         {
             self.copies -= 1.0;
             self.deliver(id, tgt);
@@ -1001,13 +952,13 @@
                 t.entry.health = Health::Gone; // Absent from a whole list is gone.
             }
         }
-        let start = PLACES_START / f64::from(self.set.gateways.max(1));
+        let (heard, places) = (self.now, PLACES_START / f64::from(self.set.gateways.max(1)));
         for e in entries {
-            let t = self.tgts.entry(e.tgt).or_insert_with(|| Tgt::new(e.clone(), self.now, start));
-            if t.entry.since != e.since {
+            let t = self.tgts.entry(e.tgt).or_default();
+            if t.places == 0.0 || t.entry.since != e.since {
                 // A new process: nothing measured of the last one holds.
-                let held = std::mem::take(&mut t.out);
-                *t = Tgt { out: held, ..Tgt::new(e.clone(), self.now, start) };
+                let out = std::mem::take(&mut t.out);
+                *t = Tgt { out, places, heard, ..Tgt::default() };
             }
             t.entry = e.clone();
         }
@@ -1017,15 +968,12 @@
         }
     }
 
-    /// Now and then: forgets idle customers, turns the flow's span.
+    /// Now and then: turns the flow's span and forgets idle customers.
     fn sweep(&mut self) {
-        if self.now >= self.flow.0 + FLOW_SPAN {
-            self.flow = (self.now, 0.0, self.flow.1);
-        }
-        if self.now < self.swept + FLOW_SPAN {
+        if self.now < self.flow.0 + FLOW_SPAN {
             return;
         }
-        self.swept = self.now;
+        self.flow = (self.now, 0.0, self.flow.1);
         let plans = &self.set.plans;
         self.customers.retain(|_, c| {
             let p = &plans[c.plan.0];
@@ -1037,25 +985,6 @@
     }
 }
 
-fn inv_untried(inv: &Inv, tgt: TgtId) -> bool {
-    inv.deliveries.iter().all(|d| d.tgt != tgt)
-}
-
-impl Tgt {
-    fn new(entry: Entry, now: Duration, places: f64) -> Self {
-        Tgt {
-            entry,
-            out: BTreeSet::new(),
-            places,
-            lat: Hist([0.0; BINS]),
-            blocked: Duration::ZERO,
-            fails: 0,
-            heard: now,
-            cold_sent: VecDeque::new(),
-        }
-    }
-}
-
 impl Customer {
     /// Part of the customer's use that comes in here, drawn towards an even spread.
     fn share(&self, burst: f64) -> f64 {
