Slots read after their end need no guess; places grow for all gateways together

Found by tests of the module alone: a quiet customer's burst was refused just after a slot ended, and one answer tripled a tenth of a place.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -56,6 +56,8 @@
 const PLACES_START: f64 = 12.0;
 const PLACES_LEAST: f64 = 5.0;
 const PLACES_MOST: f64 = 200.0;
+/// Places that all gateways together add in about an answer's time, while a backend is at ease.
+const PLACES_GROW: f64 = 3.0;
 /// Places fall by this at a refusal or time-out.
 const PLACES_FALL: f64 = 0.8;
 /// Places grow up to this many times the fleet's answer time at ease: kinds differ twofold, samples are few.
@@ -458,7 +460,8 @@
             let s = c.slots.get(&k).unwrap_or(&none);
             let run = if k == slot { inside } else { 1.0 };
             let mut used = s.own + s.others;
-            if guess && !s.last && !(k == slot && s.told == self.now) {
+            let fresh = s.told == self.now || s.told.as_secs_f64() >= (k + 1) as f64 * len;
+            if guess && !s.last && !fresh {
                 let others = (usual * run * (1.0 - share)).max(ALIKE * s.own * (1.0 / share - 1.0));
                 used = s.own + others.max(s.others);
             }
@@ -813,6 +816,7 @@
     }
 
     fn ended(&mut self, id: InvId, no: DeliveryNo, tgt: TgtId, outcome: Outcome, latency: Duration) {
+        let n = f64::from(self.set.gateways.max(1));
         if let Some(t) = self.tgts.get_mut(&tgt) {
             let full = t.out.len() as f64 + 1.0 > t.places;
             t.out.remove(&(self.now.saturating_sub(latency), id, no.0));
@@ -831,7 +835,7 @@
                     if ease < 1.0 {
                         t.places *= 1.0 - (1.0 - ease) / t.places.max(1.0);
                     } else if full {
-                        t.places += 1.0 / t.places.max(1.0);
+                        t.places += PLACES_GROW / n / t.places.max(1.0);
                     }
                     let mean = self.lat.mean().unwrap_or(self.ease);
                     self.ease = (self.ease * EASE_DRIFTS).min(mean);
@@ -848,7 +852,6 @@
                 }
                 Outcome::Failed | Outcome::Canceled | Outcome::Ignored => {}
             }
-            let n = f64::from(self.set.gateways.max(1));
             t.places = t.places.clamp(PLACES_LEAST / n, PLACES_MOST / n);
             if t.places < 1.0 && t.out.is_empty() {
                 // Less than one place: it rests in between, so that all gateways together hold few.
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,235 @@
+//! The module alone: the ordinary path, and each failure found so far.
+
+mod common;
+
+use std::time::Duration;
+
+use common::*;
+use damsonbeam::interface::*;
+
+/// Answers every call at once from a counter that keeps numbers; reads and undos included.
+fn ask(
+    rules: &mut damsonbeam::Rules,
+    counter: &mut std::collections::BTreeMap<String, f64>,
+    now: Duration,
+    event: Event,
+) -> Vec<Action> {
+    let mut all = rules.on(now, event);
+    let mut open = counts(&all);
+    while let Some((name, add)) = open.pop() {
+        let sum = counter.entry(name.clone()).or_default();
+        *sum += add;
+        let more = rules.on(now, total(&name, *sum));
+        open.extend(counts(&more));
+        all.extend(more);
+    }
+    all
+}
+
+#[test]
+fn adds_first_and_sends_on_within_the_window() {
+    let mut rules = ready(settings(Repeat::Idempotent), 4);
+    let actions = rules.on(ms(1000), arrival(1, ms(1000), "a", 2.0));
+    let calls = counts(&actions);
+    assert_eq!(calls.len(), 1);
+    assert_eq!(calls[0].1, 2.0);
+    assert!(delivered(&actions).is_empty(), "no verdict before the total");
+    let mut counter = std::collections::BTreeMap::from([(calls[0].0.clone(), 2.0)]);
+    let more = rules.on(ms(1002), total(&calls[0].0, 2.0));
+    let mut sent = delivered(&more).len();
+    for (name, add) in counts(&more) {
+        *counter.entry(name.clone()).or_default() += add;
+        sent += delivered(&rules.on(ms(1004), total(&name, counter[&name]))).len();
+    }
+    assert_eq!(sent, 1);
+}
+
+#[test]
+fn refuses_over_the_burst_and_takes_its_add_back() {
+    let mut rules = ready(settings(Repeat::Idempotent), 4);
+    let mut counter = Default::default();
+    let mut refused = 0;
+    for n in 0..8 {
+        refused += u32::from(throttled(&ask(
+            &mut rules,
+            &mut counter,
+            ms(1000 + n),
+            arrival(n, ms(1000 + n), "a", 2.0),
+        )));
+    }
+    assert_eq!(refused, 4, "a burst of 8 holds four times 2 units");
+    assert!((counter.values().sum::<f64>() - 8.0).abs() < 1e-6, "only admitted units stay counted");
+}
+
+#[test]
+fn others_use_counts_and_a_quiet_customer_gets_its_store_back() {
+    let mut rules = ready(settings(Repeat::Idempotent), 4);
+    let mut counter = std::collections::BTreeMap::new();
+    let name = counts(&rules.on(ms(1000), arrival(1, ms(1000), "a", 2.0)))[0].0.clone();
+    counter.insert(name.clone(), 9.0);
+    let told = rules.on(ms(1002), total(&name, 9.0));
+    let reads = counts(&told);
+    let more = reads.iter().flat_map(|(name, _)| rules.on(ms(1003), total(name, 0.0)));
+    assert!(told.into_iter().chain(more).any(|a| matches!(a, Action::Throttle { .. })));
+    let later = ms(30_000);
+    assert!(!throttled(&ask(&mut rules, &mut counter, later, arrival(2, later, "a", 8.0))));
+}
+
+/// A flush or an empty return must not hand out a second burst: what was admitted here stays known.
+#[test]
+fn a_flushed_counter_does_not_hand_out_the_burst_again() {
+    let mut rules = ready(settings(Repeat::Idempotent), 4);
+    let mut counter: std::collections::BTreeMap<String, f64> = Default::default();
+    for n in 0..4 {
+        let now = ms(1000 + n);
+        assert!(!throttled(&ask(&mut rules, &mut counter, now, arrival(n, now, "a", 2.0))));
+    }
+    counter.clear();
+    let now = ms(1010);
+    assert!(throttled(&ask(&mut rules, &mut counter, now, arrival(9, now, "a", 2.0))));
+}
+
+/// A silent counter must not be waited for by everyone, nor leave everything open.
+#[test]
+fn a_silent_counter_is_asked_ever_less_and_the_quota_still_holds() {
+    let mut rules = ready(settings(Repeat::Idempotent), 4);
+    let (mut asked, mut sent) = (0, 0.0);
+    for n in 0..200u64 {
+        let now = ms(1000 + 5 * n);
+        let actions = rules.on(now, arrival(n, now, &format!("c{}", n % 4), 1.0));
+        sent += delivered(&actions).len() as f64;
+        for (name, _) in counts(&actions).into_iter().filter(|c| c.1 >= 0.0) {
+            asked += u32::from(n >= 100);
+            let more = rules.on(now, no_total(&name, Outcome::TimedOut));
+            sent += delivered(&more).len() as f64;
+            for (inv, tgt) in more.iter().filter_map(|a| match a {
+                Action::Deliver { inv, tgt, .. } => Some((inv.0, *tgt)),
+                _ => None,
+            }) {
+                rules.on(now, outcome(inv, 0, tgt, Outcome::Ok, true));
+            }
+        }
+        for (inv, tgt) in actions.iter().filter_map(|a| match a {
+            Action::Deliver { inv, tgt, .. } => Some((inv.0, *tgt)),
+            _ => None,
+        }) {
+            rules.on(now, outcome(inv, 0, tgt, Outcome::Ok, true));
+        }
+    }
+    assert!(asked < 40, "{asked} of the last 100 asked a dead counter");
+    assert!(sent > 0.0 && sent <= 4.0 * 10.0, "{sent} sent on with four bursts of 8 and a second's refill");
+}
+
+/// An admitted invocation that the line can't take is shed at once, and its units come back.
+#[test]
+fn no_backend_means_an_answer_in_time_and_nothing_sent() {
+    let mut rules = ready(settings(Repeat::Idempotent), 0);
+    let mut counter = Default::default();
+    let first = ask(&mut rules, &mut counter, ms(1000), arrival(1, ms(1000), "a", 1.0));
+    assert!(delivered(&first).is_empty());
+    let late = ask(&mut rules, &mut counter, ms(1990), Event::Timer { token: "due".into() });
+    assert!(throttled(&first) || throttled(&late), "given up before its objective, not held to the end");
+    assert!(counter.values().sum::<f64>().abs() < 1e-6);
+}
+
+/// A restarted gateway can't know that it is the first of its life: the ceiling's store is not handed out anew.
+#[test]
+fn a_new_life_starts_a_ceiling_from_nothing() {
+    let mut set = settings(Repeat::Idempotent);
+    set.counter = None;
+    set.plans[0] = Plan { ceiling_rate: 3.0, ceiling_burst: 12.0, price: 1.0, ..Plan::default() };
+    let mut rules = ready(set, 4);
+    assert!(throttled(&rules.on(ms(1000), arrival(1, ms(1000), "a", 1.0))));
+    assert_eq!(delivered(&rules.on(ms(3000), arrival(2, ms(3000), "b", 1.0))).len(), 1);
+}
+
+#[test]
+fn nothing_goes_to_a_backend_that_drains_or_is_absent_from_the_list() {
+    let mut set = settings(Repeat::Idempotent);
+    set.plans.clear();
+    let mut rules = ready(set, 2);
+    rules.on(ms(1100), list(ListForm::Update, vec![entry(0, Health::Draining, Duration::ZERO)]));
+    for n in 0..3 {
+        let sent = delivered(&rules.on(ms(1200 + n), arrival(n, ms(1200 + n), "a", 1.0)));
+        assert!(sent.iter().all(|t| *t == TgtId(1)));
+    }
+    rules.on(ms(1300), list(ListForm::Replace, vec![]));
+    assert!(delivered(&rules.on(ms(1301), arrival(9, ms(1301), "a", 1.0))).is_empty());
+}
+
+/// With ten gateways one place each is ten at a small backend (incident i935554): together they hold few.
+#[test]
+fn many_gateways_hold_less_than_one_place_each() {
+    let mut set = settings(Repeat::Idempotent);
+    set.plans.clear();
+    set.gateways = 20;
+    let mut rules = ready(set, 1);
+    let tgt = delivered(&rules.on(ms(1000), arrival(0, ms(1000), "a", 1.0)));
+    assert_eq!(tgt.len(), 1);
+    rules.on(ms(1100), outcome(0, 0, TgtId(0), Outcome::Ok, true));
+    let next = rules.on(ms(1101), arrival(1, ms(1101), "a", 1.0));
+    assert!(delivered(&next).is_empty(), "the backend's place here rests between deliveries");
+}
+
+#[test]
+fn a_cap_with_fewer_places_than_gateways_goes_by_turns() {
+    let started = |me| {
+        let mut set = settings(Repeat::Idempotent);
+        set.me = GatewayId(me);
+        set.counter = None;
+        set.plans[0] = Plan { max_out: 1.0, price: 1.0, ..Plan::default() };
+        let mut rules = ready(set, 4);
+        !delivered(&rules.on(ms(1010), arrival(1, ms(1010), "a", 1.0))).is_empty()
+    };
+    assert_eq!((0..3).filter(|me| started(*me)).count(), 1, "one gateway's turn at a time");
+}
+
+#[test]
+fn a_failed_subscription_is_asked_for_again() {
+    let mut set = settings(Repeat::Idempotent);
+    set.discovery = Discovery::Subscribed;
+    let mut rules = damsonbeam::Rules::new(1, set, ms(0));
+    let watch = |a: &[Action]| a.iter().any(|a| matches!(a, Action::Watch { on: true }));
+    assert!(watch(&rules.on(ms(0), list(ListForm::Restored, vec![]))));
+    assert!(!watch(&rules.on(ms(10), list(ListForm::Unavailable, vec![]))));
+    assert!(watch(&rules.on(ms(600), Event::Timer { token: "due".into() })));
+}
+
+#[test]
+fn a_stream_once_begun_is_left_alone() {
+    let mut set = settings(Repeat::NonIdempotent);
+    set.plans.clear();
+    let mut rules = ready(set, 2);
+    let tgt = delivered(&rules.on(ms(1000), arrival(1, ms(1000), "a", 1.0)))[0];
+    let begun = Event::FirstByte { inv: InvId(1), no: DeliveryNo(0), tgt, latency: ms(50) };
+    rules.on(ms(1050), begun);
+    let after = rules.on(ms(9000), Event::Timer { token: "due".into() });
+    assert!(!throttled(&after) && !errored(&after));
+}
+
+#[test]
+fn settled_units_are_put_right_on_the_counter() {
+    let mut set = settings(Repeat::Idempotent);
+    set.settles = true;
+    let mut rules = ready(set, 2);
+    let mut counter = Default::default();
+    let sent = ask(&mut rules, &mut counter, ms(1000), arrival(1, ms(1000), "a", 2.0));
+    let Event::Outcome { inv, no, tgt, outcome, latency, report, .. } =
+        outcome(1, 0, delivered(&sent)[0], Outcome::Ok, true)
+    else {
+        unreachable!()
+    };
+    let end = Event::Outcome {
+        inv,
+        no,
+        tgt,
+        outcome,
+        latency,
+        closed: true,
+        used: None,
+        true_units: Some(5.0),
+        report,
+    };
+    ask(&mut rules, &mut counter, ms(1100), end);
+    assert!((counter.values().sum::<f64>() - 5.0).abs() < 1e-6);
+}
