--- a/src/rules.rs
+++ b/src/rules.rs
@@ -23,7 +23,7 @@
 use crate::interface::*;
 
 /// Slots in a window: finer follows the window closer, but costs a read for each at each gateway.
-const SLOTS: u64 = 2;
+const SLOTS: u64 = 3;
 /// Slots of 60 s at most are kept by the counter; names outlive the window by this many slots.
 const KEEP: u64 = 3;
 const KEEP_MOST: Duration = Duration::from_secs(60);
@@ -33,6 +33,8 @@
 const FINAL_AFTER: u32 = 3;
 /// Part of the burst up to which guesses stand in for unread slots: half leaves room to be wrong twofold.
 const UNREAD_UP_TO: f64 = 0.5;
+/// A window told full is not asked about again for this long: the add and its undo would be calls for nothing.
+const FULL_FOR: Duration = Duration::from_millis(250);
 /// A customer's usual slot moves this far to each newer one: some five slots, about a window.
 const USUAL_STEP: f64 = 0.2;
 /// Part of the rate that a customer not known yet is taken to use: most use less than half.
@@ -289,10 +291,9 @@
             Event::Targets { form, entries } => self.listed(form, &entries),
             Event::Invocation { inv, deadline, op, plan, customer, units, first_gateway, spread, .. } => {
                 let here = Inv { op, plan, customer, units, arrived: now, deadline, ..Inv::default() };
-                if op.0 < self.set.operations.len() {
-                    self.arrived(inv, here, first_gateway, spread);
-                } else {
-                    self.out.push(Action::Error { inv });
+                match self.set.operations.get(op.0) {
+                    Some(_) => self.arrived(inv, here, first_gateway, spread),
+                    None => self.out.push(Action::Error { inv }),
                 }
             }
             Event::FirstByte { inv, no, .. } => self.started(inv, no),
@@ -301,10 +302,9 @@
                 if let Some(units) = true_units.filter(|_| self.set.settles) {
                     self.settle(inv, units);
                 }
-                if closed {
-                    self.forget(inv);
-                } else {
-                    self.again_or_end(inv);
+                match closed {
+                    true => self.forget(inv),
+                    false => self.again_or_end(inv),
                 }
             }
             Event::Left { inv } => self.forget(inv),
@@ -354,7 +354,7 @@
         let spread = if spread == 0 { n } else { spread.min(n) };
         let turn = (self.set.me.0 + n - first.0 % n) % n;
         let inside = turn < spread;
-        let margin = self.set.tick.max(Duration::from_millis(1));
+        let margin = self.set.tick.max(Duration::from_millis(1)); // A batch later is too late.
         self.due.insert((inv.deadline.saturating_sub(margin), Due::Final(id)));
         let metered = self.metered(inv.plan);
         let (customer, units, plan) = (inv.customer.clone(), inv.units, inv.plan);
@@ -383,8 +383,11 @@
         self.roll(&customer);
         // Known to be full, or no room in the line: refused early, without calls that are then undone.
         let burst = self.set.plans[plan.0].burst;
-        let full = self.sum(&customer, false) + units > burst + EPS && self.unread(&customer, 0).is_empty();
-        if full || self.pressed(id) {
+        let told =
+            self.customers[&customer].slots.get(&self.invs[&id].slot).map_or(Duration::ZERO, |s| s.told);
+        let sure = self.now < told + FULL_FOR || self.ask < ASK_READS;
+        let full = sure && self.sum(&customer, false) + units > burst + EPS;
+        if full && self.unread(&customer, 0).is_empty() || self.pressed(id) {
             return self.throttle(id);
         }
         if self.set.counter.is_none() || self.rng.random::<f64>() >= self.ask {
@@ -535,14 +538,14 @@
             if reads.is_empty() && sum > burst {
                 reads = self.unread(&customer, 0);
             }
-            if !reads.is_empty() {
-                for k in reads {
-                    let c = self.customers.get_mut(&customer).expect("has an invocation");
-                    c.waiting.insert(id);
-                    if !std::mem::replace(&mut c.slots.entry(k).or_default().reading, true) {
-                        self.call(customer.clone(), k, 0.0, None, true);
-                    }
+            for k in &reads {
+                let c = self.customers.get_mut(&customer).expect("has an invocation");
+                c.waiting.insert(id);
+                if !std::mem::replace(&mut c.slots.entry(*k).or_default().reading, true) {
+                    self.call(customer.clone(), *k, 0.0, None, true);
                 }
+            }
+            if !reads.is_empty() {
                 return;
             }
         }
@@ -581,8 +584,7 @@
             let retry_after = self.set.limits.retry_after.map(|most| {
                 let p = self.set.plans.get(inv.plan.0).filter(|p| p.rate > 0.0 && !inv.admitted);
                 let over = p.map_or(0.0, |p| (self.sum(&inv.customer, true) + inv.units - p.burst) / p.rate);
-                let pressed = self.expect(0.5, inv.op);
-                Duration::from_secs_f64(over.max(pressed)).min(most)
+                Duration::from_secs_f64(over.max(self.expect(0.5, inv.op))).min(most)
             });
             self.out.push(Action::Throttle { inv: id, retry_after });
         }
@@ -737,11 +739,10 @@
     /// A plan's cap on deliveries out at once: this gateway's part of it. Where the cap has fewer places than
     /// the customer has gateways, they take turns by the shared clock: held for a moment, not beyond quota.
     fn capped(&self, inv: &Inv) -> bool {
-        let Some(cap) = self.set.plans.get(inv.plan.0).map(|p| p.max_out).filter(|m| *m > 0.0) else {
-            return false;
-        };
+        let plan = self.set.plans.get(inv.plan.0).filter(|p| p.max_out > 0.0);
+        let Some(&Plan { max_out: cap, burst, .. }) = plan else { return false };
         let c = &self.customers[&inv.customer];
-        let part = (cap * c.share(self.set.plans[inv.plan.0].burst)).round().max(1.0);
+        let part = (cap * c.share(burst)).round().max(1.0);
         let cycle = self.set.operations[inv.op.0].latency_objective.as_secs_f64() * CYCLE;
         let at = (self.now.as_secs_f64() / cycle).fract() * c.spread;
         f64::from(c.out) >= part || (c.turn - at).rem_euclid(c.spread) >= cap
@@ -782,7 +783,6 @@
         let patience = (PATIENCE * slow).max(left - PATIENCE * usual);
         let timeout = (again && !self.set.limits.parallel && patience + usual < left)
             .then(|| Duration::from_secs_f64(patience));
-        let copy_at = self.now + Duration::from_secs_f64(PATIENCE * slow);
         let ready = |t: &&Tgt| t.entry.health == Health::Up && self.warmth(&t.entry) >= 1.0;
         let warm = ready(&&self.tgts[&tgt]);
         let fleet = self.tgts.values().filter(ready).count().max(1) as f64;
@@ -803,7 +803,7 @@
         self.customers.get_mut(&inv.customer).into_iter().for_each(|c| c.out += 1);
         self.copies = (self.copies + if first { COPIES } else { 0.0 }).min(COPIES_SAVED);
         if again && self.set.limits.parallel {
-            self.due.insert((copy_at, Due::Copy(id)));
+            self.due.insert((self.now + Duration::from_secs_f64(PATIENCE * slow), Due::Copy(id)));
         }
         self.out.push(Action::Deliver { inv: id, tgt, timeout });
     }
