Under a line, flagged repeats are judged by their first try's objective

Where clients flag repeats, the integration timeout left tells how much is spent; only while work waits.

--- a/crates/adapter/src/translate.rs
+++ b/crates/adapter/src/translate.rs
@@ -155,7 +155,7 @@
             package,
         } => (
             gateway_id,
-            Event::Invocation {
+            Event::Invocation(Invocation {
                 inv: InvId(msg_id),
                 deadline: ns(valid_until_ns),
                 op: OpId(cls),
@@ -166,7 +166,7 @@
                 spread: width,
                 write: mutates,
                 repeat,
-            },
+            }),
         ),
         Happened::FirstByte { gateway_id, msg_id, r#try, backend, wait_time_ns } => (
             gateway_id,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// An invocation, as named by the front end; never used twice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct InvId(pub u64);
 /// A backend; the same at every gateway.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -24,7 +24,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct DeliveryNo(pub u32);
 /// A gateway's number among its siblings.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct GatewayId(pub u32);
 
 /// Whether an operation may take effect again.
@@ -178,25 +178,29 @@
 /// Values of a load report by the names that [`Settings`]' source gave; `None` where absent.
 pub type Report = Vec<f64>;
 
+/// A client's try, as it came in.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Invocation {
+    pub inv: InvId,
+    /// When this try's client stops waiting.
+    pub deadline: Duration,
+    pub op: OpId,
+    pub plan: PlanId,
+    pub customer: CustomerId,
+    pub units: f64,
+    pub first_gateway: GatewayId,
+    pub spread: u32,
+    pub write: bool,
+    pub repeat: bool,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     Targets {
         form: ListForm,
         entries: Arc<[Entry]>,
     },
-    Invocation {
-        inv: InvId,
-        /// When this try's client stops waiting.
-        deadline: Duration,
-        op: OpId,
-        plan: PlanId,
-        customer: CustomerId,
-        units: f64,
-        first_gateway: GatewayId,
-        spread: u32,
-        write: bool,
-        repeat: bool,
-    },
+    Invocation(Invocation),
     FirstByte {
         inv: InvId,
         no: DeliveryNo,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -191,12 +191,8 @@
 
 #[derive(Default)]
 struct Inv {
-    op: OpId,
-    plan: PlanId,
-    customer: CustomerId,
-    units: f64,
+    told: Invocation,
     arrived: Duration,
-    deadline: Duration,
     stage: Stage,
     slot: u64,
     /// Its units are in the slot's `asking`, then in `own` once admitted.
@@ -206,6 +202,13 @@
     deliveries: Vec<Delivery>,
 }
 
+impl std::ops::Deref for Inv {
+    type Target = Invocation;
+    fn deref(&self) -> &Invocation {
+        &self.told
+    }
+}
+
 #[derive(Default)]
 struct Tgt {
     entry: Entry,
@@ -289,14 +292,11 @@
         self.now = now;
         match event {
             Event::Targets { form, entries } => self.listed(form, &entries),
-            Event::Invocation { inv, deadline, op, plan, customer, units, first_gateway, spread, .. } => {
-                let here = Inv { op, plan, customer, units, arrived: now, deadline, ..Inv::default() };
-                match self.set.operations.get(op.0) {
-                    Some(_) => self.arrived(inv, here, first_gateway, spread),
-                    None => self.out.push(Action::Error { inv }),
-                }
-            }
-            Event::FirstByte { inv, no, .. } => self.started(inv, no),
+            Event::Invocation(new) => match self.set.operations.get(new.op.0) {
+                Some(_) => self.arrived(new),
+                None => self.out.push(Action::Error { inv: new.inv }),
+            },
+            Event::FirstByte { inv, .. } => self.started(inv),
             Event::Outcome { inv, no, tgt, outcome, latency, closed, true_units, .. } => {
                 self.ended(inv, no, tgt, outcome, latency);
                 if let Some(units) = true_units.filter(|_| self.set.settles) {
@@ -349,10 +349,12 @@
         self.set.plans.get(plan.0).is_some_and(|p| p.rate > 0.0 && p.burst > 0.0)
     }
 
-    fn arrived(&mut self, id: InvId, mut inv: Inv, first: GatewayId, spread: u32) {
+    fn arrived(&mut self, told: Invocation) {
+        let mut inv = Inv { told, arrived: self.now, ..Inv::default() };
+        let (id, spread) = (inv.inv, inv.told.spread);
         let n = self.set.gateways.max(1);
         let spread = if spread == 0 { n } else { spread.min(n) };
-        let turn = (self.set.me.0 + n - first.0 % n) % n;
+        let turn = (self.set.me.0 + n - inv.first_gateway.0 % n) % n;
         let inside = turn < spread;
         let margin = self.set.tick.max(Duration::from_millis(1)); // A batch later is too late.
         self.due.insert((inv.deadline.saturating_sub(margin), Due::Final(id)));
@@ -661,7 +663,12 @@
         let left = self.objective(inv).saturating_sub(self.now).as_secs_f64();
         let busy: usize = self.tgts.values().map(|t| t.out.len()).sum();
         let wait = self.line.len() as f64 * self.lat.mean().unwrap_or(0.0) / busy.max(1) as f64;
-        self.expect(0.5, inv.op) > left || (busy > 0 && wait > LINE_PART * left)
+        // A client's next try runs on its first one's objective: while work waits, it goes last.
+        let op = &self.set.operations[inv.op.0];
+        let spent = op.integration_timeout.saturating_sub(inv.deadline.saturating_sub(inv.arrived));
+        let first = op.latency_objective.saturating_sub(spent).as_secs_f64();
+        let room = LINE_PART * if inv.repeat { first.min(left) } else { left };
+        self.expect(0.5, inv.op) > left || (busy > 0 && wait > room)
     }
 
     fn enqueue(&mut self, id: InvId) {
@@ -796,13 +803,13 @@
             t.cold_sent.retain(|(at, _)| *at + span > self.now);
         }
         t.out.insert((self.now, id, inv.deliveries.len() as u32));
-        let (zone, cell) = (t.entry.zone, t.entry.cell);
+        let Entry { zone, cell, .. } = t.entry;
         inv.deliveries.push(Delivery { tgt, zone, cell, sent: self.now, out: true, idle: false });
         inv.stage = Stage::Sent;
         self.line.remove(&(inv.arrived, id));
         self.customers.get_mut(&inv.customer).into_iter().for_each(|c| c.out += 1);
         self.copies = (self.copies + if first { COPIES } else { 0.0 }).min(COPIES_SAVED);
-        if again && self.set.limits.parallel {
+        if again && self.set.limits.parallel && !self.set.operations[op.0].streamed {
             self.due.insert((self.now + Duration::from_secs_f64(PATIENCE * slow), Due::Copy(id)));
         }
         self.out.push(Action::Deliver { inv: id, tgt, timeout });
@@ -830,8 +837,7 @@
                     } else if full {
                         t.places += PLACES_GROW / n / t.places.max(1.0);
                     }
-                    let mean = self.lat.mean().unwrap_or(self.ease);
-                    self.ease = (self.ease * EASE_DRIFTS).min(mean);
+                    self.ease = self.lat.mean().unwrap_or(f64::MAX).min(self.ease * EASE_DRIFTS);
                 }
                 Outcome::TimedOut => {
                     t.lat.note(latency, TGT_SAMPLES);
@@ -891,16 +897,11 @@
         }
     }
 
-    fn started(&mut self, id: InvId, no: DeliveryNo) {
+    /// A stream that began belongs to the client: no time runs, nothing more is sent.
+    fn started(&mut self, id: InvId) {
         let Some(inv) = self.invs.get_mut(&id) else { return };
-        inv.started = true;
-        inv.stage = Stage::Sent;
+        (inv.started, inv.stage) = (true, Stage::Sent);
         self.line.remove(&(inv.arrived, id));
-        for (k, d) in inv.deliveries.iter().enumerate() {
-            if d.out && k as u32 != no.0 && self.set.limits.cancel {
-                self.out.push(Action::Cancel { inv: id, no: DeliveryNo(k as u32) });
-            }
-        }
     }
 
     fn run_due(&mut self) {
--- a/tests/rules/common.rs
+++ b/tests/rules/common.rs
@@ -67,7 +67,7 @@
 }
 
 pub fn arrival(inv: u64, now: Duration, customer: &str, units: f64) -> Event {
-    Event::Invocation {
+    Event::Invocation(Invocation {
         inv: InvId(inv),
         deadline: now + ms(3000),
         op: OpId(0),
@@ -78,7 +78,7 @@
         spread: 3,
         write: false,
         repeat: false,
-    }
+    })
 }
 
 pub fn total(name: &str, total: f64) -> Event {
--- a/tests/rules/decisions.rs
+++ b/tests/rules/decisions.rs
@@ -231,3 +231,22 @@
     ask(&mut rules, &mut counter, ms(1100), end);
     assert!((counter.values().sum::<f64>() - 5.0).abs() < 1e-6);
 }
+
+/// In a surge, clients' next tries come too late for their first ones' objective and crowd out the fresh
+/// (incident i5d680d): while work waits in line, they are turned away first.
+#[test]
+fn a_late_repeat_gives_way_while_work_waits() {
+    let mut set = settings(Repeat::Idempotent);
+    set.plans.clear();
+    let mut rules = ready(set, 1);
+    for n in 1..=14 {
+        rules.on(ms(1000), arrival(n, ms(1000), "a", 1.0));
+    }
+    for done in 1..3 {
+        rules.on(ms(1100), outcome(done, 0, TgtId(0), Outcome::Ok, true));
+    }
+    let Event::Invocation(first) = arrival(50, ms(1100), "a", 1.0) else { unreachable!() };
+    let spent = Invocation { inv: InvId(51), repeat: true, deadline: ms(1100 + 2050), ..first };
+    assert!(!throttled(&rules.on(ms(1099), arrival(49, ms(1099), "a", 1.0))), "a fresh one still waits");
+    assert!(throttled(&rules.on(ms(1100), Event::Invocation(spent))), "its first try came 950 ms ago");
+}
