--- a/src/rules.rs
+++ b/src/rules.rs
@@ -39,9 +39,9 @@
 const USUAL_STEP: f64 = 0.2;
 /// Part of the rate that a customer not known yet is taken to use: most use less than half.
 const USUAL_FIRST: f64 = 0.5;
-/// How far an unread slot is taken to be like here at the other gateways, share for share: a half, since a
-/// single invocation where a customer is thinly spread says little, a surge seen here much.
-const ALIKE: f64 = 0.5;
+/// What came to the other gateways in an unread slot, in parts of what came here, share for share: more than
+/// alike, since what is refused here shows too little of a surge, and beyond quota costs more than it earns.
+const ALIKE: f64 = 1.5;
 /// Weight (in bursts) of an even spread against what was seen of a customer's share: one window's worth.
 const EVEN_WEIGHT: f64 = 1.0;
 /// Part of invocations that still ask a dead counter: a few a second find its return, none wait long.
