--- a/src/rules.rs
+++ b/src/rules.rs
@@ -62,10 +62,9 @@
 const PLACES_GROW: f64 = 3.0;
 /// Places fall by this at a refusal or time-out.
 const PLACES_FALL: f64 = 0.8;
-/// Places grow up to this many times the fleet's answer time at ease: kinds differ twofold, samples are few.
-const EASE: f64 = 2.5;
-/// The time at ease drifts up by this at each answer, a doubling in thousands: lasting change is taken in.
-const EASE_DRIFTS: f64 = 1.0002;
+/// Places grow while answers take less than this part of the latency objective, and fall beyond: quick enough
+/// to leave room for a line and another go. A time "at ease" can't be learned on days that begin under load.
+const ENOUGH: f64 = 0.1;
 /// A silent backend is left alone after this many usual answer times, but for its own line moving.
 const SILENT: f64 = 6.0;
 /// A backend that refuses connections is tried again after this, doubled at each failure up to the most.
@@ -257,8 +256,6 @@
     looks: bool,
     ask: f64,
     lat: Hist,
-    /// Mean answer time of the fleet in its best spell, in seconds.
-    ease: f64,
     copies: f64,
     flow: (Duration, f64, f64),
 }
@@ -280,7 +277,6 @@
             looks: false,
             ask: 1.0,
             lat: Hist::default(),
-            ease: f64::MAX,
             copies: 0.0,
             flow: (now, 0.0, 0.0),
             set,
@@ -817,6 +813,8 @@
 
     fn ended(&mut self, id: InvId, no: DeliveryNo, tgt: TgtId, outcome: Outcome, latency: Duration) {
         let n = f64::from(self.set.gateways.max(1));
+        let op = self.invs.get(&id).map_or(0, |i| i.op.0);
+        let enough = ENOUGH * self.set.operations[op].latency_objective.as_secs_f64();
         if let Some(t) = self.tgts.get_mut(&tgt) {
             let full = t.out.len() as f64 + 1.0 > t.places;
             t.out.remove(&(self.now.saturating_sub(latency), id, no.0));
@@ -829,15 +827,13 @@
                     self.lat.note(latency, FLEET_SAMPLES);
                     t.lat.note(latency, TGT_SAMPLES);
                     t.fails = 0;
-                    // Holding more than it works on only makes a backend less efficient: its places follow
-                    // how its answer time compares with the fleet's when that was at ease.
-                    let ease = (EASE * self.ease / t.lat.mean().unwrap_or(self.ease)).clamp(0.75, 1.0);
+                    // Holding more than it works on only makes a backend less efficient.
+                    let ease = (enough / t.lat.mean().unwrap_or(enough)).clamp(0.75, 1.0);
                     if ease < 1.0 {
                         t.places *= 1.0 - (1.0 - ease) / t.places.max(1.0);
                     } else if full {
                         t.places += PLACES_GROW / n / t.places.max(1.0);
                     }
-                    self.ease = self.lat.mean().unwrap_or(f64::MAX).min(self.ease * EASE_DRIFTS);
                 }
                 Outcome::TimedOut => {
                     t.lat.note(latency, TGT_SAMPLES);
