Read the meter on answers into a customer's usual use

Also holds against an outage or flush of the counter. May hurt: customers that change their use within the meter's delay.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,8 +35,8 @@
 const UNREAD_UP_TO: f64 = 0.5;
 /// A window told full is not asked about again for this long: the add and its undo would be calls for nothing.
 const FULL_FOR: Duration = Duration::from_millis(250);
-/// A customer's usual slot moves this far to each newer one: some five slots, about a window.
-const USUAL_STEP: f64 = 0.2;
+/// A customer's usual slot moves this far to each newer one, and to what a meter tells: about a window's worth.
+const USUAL_STEP: f64 = 0.3;
 /// Part of the rate that a customer not known yet is taken to use: most use less than half.
 const USUAL_FIRST: f64 = 0.5;
 /// What came to the other gateways in an unread slot, in parts of what came here, share for share: more than
@@ -293,15 +293,13 @@
                 None => self.out.push(Action::Error { inv: new.inv }),
             },
             Event::FirstByte { inv, .. } => self.started(inv),
-            Event::Outcome { inv, no, tgt, outcome, latency, closed, true_units, .. } => {
+            Event::Outcome { inv, no, tgt, outcome, latency, closed, used, true_units, .. } => {
+                used.into_iter().for_each(|used| self.learn(inv, used));
                 self.ended(inv, no, tgt, outcome, latency);
                 if let Some(units) = true_units.filter(|_| self.set.settles) {
                     self.settle(inv, units);
                 }
-                match closed {
-                    true => self.forget(inv),
-                    false => self.again_or_end(inv),
-                }
+                if closed { self.forget(inv) } else { self.again_or_end(inv) }
             }
             Event::Left { inv } => self.forget(inv),
             Event::Total { name, outcome, total, latency } => self.told(name, outcome, total, latency),
@@ -426,8 +424,7 @@
         let c = self.customers.get_mut(customer).expect("seen above");
         for (_, s) in c.slots.range(c.learned..slot).filter(|(_, s)| !s.told.is_zero()) {
             let all = s.own + s.others;
-            let usual = c.usual.unwrap_or(all);
-            c.usual = Some(usual + USUAL_STEP * (all - usual));
+            c.usual = toward(c.usual, all);
             c.own_seen += s.own;
             c.all_seen += all;
         }
@@ -445,6 +442,13 @@
         }
     }
 
+    /// The meter's word on an answer: the customer's use over all gateways of late.
+    fn learn(&mut self, id: InvId, used: f64) {
+        let Some(inv) = self.invs.get(&id).filter(|i| self.metered(i.plan)) else { return };
+        let slot = used * self.set.plans[inv.plan.0].rate * self.slot_len(inv.plan);
+        self.customers.get_mut(&inv.customer).into_iter().for_each(|c| c.usual = toward(c.usual, slot));
+    }
+
     /// Units held by the customer's window: without `guess` as far as known, else as is likely. Where the
     /// window holds a burst that came after a quiet time, the store behind the quota refills as it drains:
     /// the finished slots tell that as well, and the lower of the two holds.
@@ -901,15 +905,14 @@
     }
 
     fn run_due(&mut self) {
+        let in_line = |i: &Inv| i.stage == Stage::InLine;
         while let Some(&(at, due)) = self.due.first()
             && at <= self.now
         {
             self.due.pop_first();
             match due {
                 Due::Final(id) if self.invs.get(&id).is_some_and(|i| !i.started) => self.throttle(id),
-                Due::Objective(id) if self.invs.get(&id).is_some_and(|i| i.stage == Stage::InLine) => {
-                    self.throttle(id)
-                }
+                Due::Objective(id) if self.invs.get(&id).is_some_and(in_line) => self.throttle(id),
                 Due::Copy(id) => self.copy(id),
                 Due::Look => self.looks = false,
                 Due::Watch => self.out.push(Action::Watch { on: true }),
@@ -976,14 +979,16 @@
         let plans = &self.set.plans;
         self.customers.retain(|_, c| {
             let p = &plans[c.plan.0];
-            let window = if p.rate > 0.0 { p.burst / p.rate } else { 0.0 };
-            let ceiling = if p.ceiling_rate > 0.0 { p.ceiling_burst / p.ceiling_rate } else { 0.0 };
-            c.held > 0
-                || self.now < c.used_at + Duration::from_secs_f64((2.0 * window).max(ceiling)) + FLOW_SPAN
+            let fill = (2.0 * p.burst / p.rate.max(EPS)).max(p.ceiling_burst / p.ceiling_rate.max(EPS));
+            c.held > 0 || self.now < c.used_at + Duration::from_secs_f64(fill) + FLOW_SPAN
         });
     }
 }
 
+fn toward(usual: Option<f64>, newer: f64) -> Option<f64> {
+    Some(usual.map_or(newer, |u| u + USUAL_STEP * (newer - u)))
+}
+
 impl Customer {
     /// Part of the customer's use that comes in here, drawn towards an even spread.
     fn share(&self, burst: f64) -> f64 {
--- a/tests/rules/decisions.rs
+++ b/tests/rules/decisions.rs
@@ -250,3 +250,27 @@
     assert!(!throttled(&rules.on(ms(1099), arrival(49, ms(1099), "a", 1.0))), "a fresh one still waits");
     assert!(throttled(&rules.on(ms(1100), Event::Invocation(spent))), "its first try came 950 ms ago");
 }
+
+/// Where the counter can't tell, answers do: a customer busy at other gateways is not let in as calm
+/// (incident i708717).
+#[test]
+fn the_meter_on_answers_tells_of_use_elsewhere() {
+    let second_is_refused = |used| {
+        let mut set = settings(Repeat::Idempotent);
+        set.counter = None;
+        let mut rules = ready(set, 2);
+        let tgt = delivered(&rules.on(ms(1000), arrival(1, ms(1000), "a", 1.0)))[0];
+        let Event::Outcome { inv, no, outcome, latency, report, .. } = outcome(1, 0, tgt, Outcome::Ok, true)
+        else {
+            unreachable!()
+        };
+        let true_units = None;
+        rules.on(
+            ms(1100),
+            Event::Outcome { inv, no, tgt, outcome, latency, closed: true, used, true_units, report },
+        );
+        throttled(&rules.on(ms(2000), arrival(2, ms(2000), "a", 1.0)))
+    };
+    assert!(!second_is_refused(None));
+    assert!(second_is_refused(Some(5.0)));
+}
