--- a/src/interface.rs
+++ b/src/interface.rs
@@ -175,7 +175,7 @@
     }
 }
 
-/// Values of a load report by the names that [`Settings`]' source gave; `None` where absent.
+/// Values of a load report, in the order that the front end was told; empty where none came.
 pub type Report = Vec<f64>;
 
 /// A client's try, as it came in.
