Bound very long windows by the replayed store

Cause: slots are at most 8 s, since the counter forgets after 60; for a plan whose window is longer than three of them the sum would have let a burst in every 24 s.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,7 +27,7 @@
 /// Slots of 60 s at most are kept by the counter; names outlive the window by this many slots.
 const KEEP: u64 = 3;
 const KEEP_MOST: Duration = Duration::from_secs(60);
-/// Longest slot in seconds: two windows of them and the rest are still kept.
+/// Longest slot in seconds: two windows of them are still kept.
 const SLOT_MOST: f64 = 8.0;
 /// A finished slot's total is final this many counter time-outs after its end: add, verdict, undo.
 const FINAL_AFTER: u32 = 3;
@@ -476,7 +476,8 @@
             }
             debt = (debt - p.rate * len * run).max(0.0) + used;
         }
-        window.min(debt)
+        // A window longer than the counter remembers: only the replayed store bounds it.
+        if len * SLOTS as f64 + EPS < p.burst / p.rate { debt } else { window.min(debt) }
     }
 
     /// Finished slots, from `from` on, whose final total is there to be read.
--- a/tests/rules/decisions.rs
+++ b/tests/rules/decisions.rs
@@ -274,3 +274,22 @@
     assert!(!second_is_refused(None));
     assert!(second_is_refused(Some(5.0)));
 }
+
+/// A window longer than the counter remembers must not let a burst in for each stretch that it does.
+#[test]
+fn a_very_long_window_still_holds_the_rate() {
+    let mut set = settings(Repeat::Idempotent);
+    set.plans[0] = Plan { rate: 0.1, burst: 20.0, price: 1.0, ..Plan::default() };
+    let mut rules = ready(set, 4);
+    let mut counter = Default::default();
+    let mut admitted = 0;
+    for n in 0..200u64 {
+        let now = ms(60_000 + 500 * n);
+        let actions = ask(&mut rules, &mut counter, now, arrival(n, now, "a", 1.0));
+        admitted += u32::from(!throttled(&actions));
+        for tgt in delivered(&actions) {
+            rules.on(now, outcome(n, 0, tgt, Outcome::Ok, true));
+        }
+    }
+    assert!(admitted <= 30, "{admitted} in 100 s, with 20 at once and 10 more refilled");
+}
