--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,9 +33,9 @@
 const FINAL_AFTER: u32 = 3;
 /// Part of the burst up to which guesses stand in for unread slots: half leaves room to be wrong twofold.
 const UNREAD_UP_TO: f64 = 0.5;
-/// A window told full is not asked about again for this long: the add and its undo would be calls for nothing.
+/// A window told full is not asked about again for this long: add and undo would be calls for nothing.
 const FULL_FOR: Duration = Duration::from_millis(250);
-/// A customer's usual slot moves this far to each newer one, and to what a meter tells: about a window's worth.
+/// A usual slot moves this far to each newer one, and to what a meter tells: about a window's worth.
 const USUAL_STEP: f64 = 0.3;
 /// Part of the rate that a customer not known yet is taken to use: most use less than half.
 const USUAL_FIRST: f64 = 0.5;
@@ -46,7 +46,7 @@
 const EVEN_WEIGHT: f64 = 1.0;
 /// Part of invocations that still ask a dead counter: a few a second find its return, none wait long.
 const ASK_LEAST: f64 = 0.05;
-/// Asking falls by this at a failed call and grows by that at a prompt one: out in ten calls, back in as many.
+/// Asking falls by this at a failed call, grows by that at a prompt one: out in ten calls, back in as many.
 const ASK_FALLS: f64 = 0.7;
 const ASK_GROWS: f64 = 1.35;
 /// A call answered later than this part of its time-out stood in line; from there asking grows by the latter.
@@ -718,7 +718,7 @@
                 continue;
             }
             if warm < 1.0 {
-                // Pushed over it stays down: keep to this gateway's part, which its last life may have used up.
+                // Pushed over, it stays down: keep to this gateway's part, which a last life may have used.
                 let budget =
                     COLD_PART * self.set.overload_factor * warm * flow * span.as_secs_f64().max(1e-3);
                 let sent: f64 =
