--- a/src/rules.rs
+++ b/src/rules.rs
@@ -39,19 +39,22 @@
 const USUAL_STEP: f64 = 0.3;
 /// Part of the rate that a customer not known yet is taken to use: most use less than half.
 const USUAL_FIRST: f64 = 0.5;
-/// What came to the other gateways in an unread slot, in parts of what came here, share for share: more than
-/// alike, since what is refused here shows too little of a surge, and beyond quota costs more than it earns.
-const ALIKE: f64 = 1.5;
+/// What the usual weighs beside what was seen, in largest invocations.
+const USUAL_UNITS: f64 = 1.0;
 /// Weight (in bursts) of an even spread against what was seen of a customer's share: one window's worth.
 const EVEN_WEIGHT: f64 = 1.0;
 /// Part of invocations that still ask a dead counter: a few a second find its return, none wait long.
 const ASK_LEAST: f64 = 0.05;
-/// Asking falls by this at a failed call, grows by that at a prompt one: out in ten calls, back in as many.
+/// Asking falls by this at a failed call (out in ten), by that at a late one: a crowded counter works on
+/// calls that nobody waits for any more, so its line has to be kept short before calls fail.
 const ASK_FALLS: f64 = 0.7;
-const ASK_GROWS: f64 = 1.35;
-/// A call answered later than this part of its time-out stood in line; from there asking grows by the latter.
+const ASK_LATE: f64 = 0.85;
+/// Asking grows by this at a prompt call, times the prompt ones in a row, and by the latter at the most: little
+/// while late ones come in between, back within a dozen or two after an outage.
+const ASK_GROWS: f64 = 0.02;
+const ASK_JUMPS: f64 = 1.35;
+/// A call answered later than this part of its time-out stood in line.
 const ASK_PROMPT: f64 = 0.3;
-const ASK_CREEPS: f64 = 1.02;
 /// Reads are left out below this chance of asking: a crowded counter's calls are for adds.
 const ASK_READS: f64 = 0.5;
 /// Places of a backend at all gateways together: at first, at least (a few cores' worth), and at most.
@@ -78,8 +81,14 @@
 const COPIES_SAVED: f64 = 10.0;
 /// A delivery is given this many times the slow answers' time before another is made.
 const PATIENCE: f64 = 2.0;
+/// Answers that the fleet's usual time weighs beside a backend's own.
+const USUAL_WEIGHT: f64 = 3.0;
+/// Expected times this much apart are equal: fewer than that no dozen of answers tells apart.
+const EQUAL: f64 = 0.2;
 /// Part of the budget for a cold backend that this gateway's part may use: work sizes vary by chance.
 const COLD_PART: f64 = 0.5;
+/// Units that a cold backend gets in a span of its budget from all gateways, where no warm one tells its flow.
+const COLD_LEAST: f64 = 2.0;
 /// Span over which the flow to warm backends is taken: long against chance, short against load's swing.
 const FLOW_SPAN: Duration = Duration::from_secs(4);
 /// Turns under a cap go round in this part of the latency objective: a wait that leaves time to answer.
@@ -121,6 +130,11 @@
         })?;
         Some(Self::middle(found))
     }
+    /// The mean, drawn towards `usual`: one answer tells little of who gave it.
+    fn mean_from(&self, usual: f64) -> f64 {
+        let n: f64 = self.0.iter().sum();
+        (self.mean().unwrap_or(usual) * n + usual * USUAL_WEIGHT) / (n + USUAL_WEIGHT)
+    }
     fn mean(&self) -> Option<f64> {
         let n: f64 = self.0.iter().sum();
         let sum: f64 = self.0.iter().enumerate().map(|(i, b)| b * Self::middle(i)).sum();
@@ -134,6 +148,8 @@
     /// Units admitted here, and those whose add is not answered yet.
     own: f64,
     asking: f64,
+    /// Units asked for here, refused ones too: they show a surge that what is admitted does not.
+    came: f64,
     /// Own units that the counter is believed to hold.
     put: f64,
     /// Units of the other gateways, by the last answer, and when that came.
@@ -217,7 +233,9 @@
     blocked: Duration,
     fails: u32,
     heard: Duration,
-    cold_sent: VecDeque<(Duration, f64)>,
+    /// Units that this gateway may send while it is cold, earned up to `credit_at`; a delivery needs one of 0.
+    credit: f64,
+    credit_at: Duration,
 }
 
 struct Call {
@@ -255,6 +273,7 @@
     armed: Option<Duration>,
     looks: bool,
     ask: f64,
+    prompt: f64,
     lat: Hist,
     copies: f64,
     flow: (Duration, f64, f64),
@@ -276,6 +295,7 @@
             armed: None,
             looks: false,
             ask: 1.0,
+            prompt: 0.0,
             lat: Hist::default(),
             copies: 0.0,
             flow: (now, 0.0, 0.0),
@@ -303,7 +323,9 @@
             }
             Event::Left { inv } => self.forget(inv),
             Event::Total { name, outcome, total, latency } => self.told(name, outcome, total, latency),
-            Event::Timer { .. } | Event::Probed { .. } | Event::Peer { .. } => {}
+            // A front end may round a wait down: a timer that comes early must not leave all others unarmed.
+            Event::Timer { .. } => self.armed = self.armed.filter(|a| *a > now + self.set.tick),
+            Event::Probed { .. } | Event::Peer { .. } => {}
         }
         self.run_due();
         self.pump();
@@ -377,16 +399,21 @@
             return self.enqueue(id);
         }
         self.roll(&customer);
+        let c = self.customers.get_mut(&customer).expect("made above");
+        c.slots.entry(self.invs[&id].slot).or_default().came += units;
         // Known to be full, or no room in the line: refused early, without calls that are then undone.
         let burst = self.set.plans[plan.0].burst;
         let told =
             self.customers[&customer].slots.get(&self.invs[&id].slot).map_or(Duration::ZERO, |s| s.told);
         let sure = self.now < told + FULL_FOR || self.ask < ASK_READS;
-        let full = sure && self.sum(&customer, false) + units > burst + EPS;
+        let full = sure && self.sum(&self.customers[&customer], 0.0) + units > burst + EPS;
         if full && self.unread(&customer, 0).is_empty() || self.pressed(id) {
             return self.throttle(id);
         }
-        if self.set.counter.is_none() || self.rng.random::<f64>() >= self.ask {
+        let c = &self.customers[&customer];
+        let near = (self.sum(c, self.pace(c)) + units) / burst;
+        let ask = self.ask.powf(near.max(1.0 / near));
+        if self.set.counter.is_none() || self.rng.random::<f64>() >= ask {
             return self.verdict(id, false);
         }
         let s = self.customers.get_mut(&customer).expect("made above").slots.entry(self.invs[&id].slot);
@@ -420,11 +447,13 @@
     fn roll(&mut self, customer: &CustomerId) {
         let Some(c) = self.customers.get(customer) else { return };
         let (slot, p) = (self.slot_of(c.plan), &self.set.plans[c.plan.0]);
-        let (burst, refill) = (p.burst, p.rate * self.slot_len(c.plan));
+        let (len, burst, refill) = (self.slot_len(c.plan), p.burst, p.rate * self.slot_len(c.plan));
+        let first = USUAL_FIRST * refill;
         let c = self.customers.get_mut(customer).expect("seen above");
-        for (_, s) in c.slots.range(c.learned..slot).filter(|(_, s)| !s.told.is_zero()) {
-            let all = s.own + s.others;
-            c.usual = toward(c.usual, all);
+        for (k, s) in c.slots.range(c.learned..slot).filter(|(_, s)| !s.told.is_zero()) {
+            let told = if s.last { 1.0 } else { (s.told.as_secs_f64() / len - *k as f64).clamp(0.0, 1.0) };
+            let (all, old) = (s.own + s.others, c.usual.unwrap_or(first));
+            c.usual = Some(old + USUAL_STEP * (all - told * old));
             c.own_seen += s.own;
             c.all_seen += all;
         }
@@ -449,30 +478,47 @@
         self.customers.get_mut(&inv.customer).into_iter().for_each(|c| c.usual = toward(c.usual, slot));
     }
 
-    /// Units held by the customer's window: without `guess` as far as known, else as is likely. Where the
-    /// window holds a burst that came after a quiet time, the store behind the quota refills as it drains:
-    /// the finished slots tell that as well, and the lower of the two holds.
-    fn sum(&self, customer: &CustomerId, guess: bool) -> f64 {
-        let c = &self.customers[customer];
+    /// Part of slot `k` that has passed, and the part of it in which the others' units are told.
+    fn seen(&self, c: &Customer, k: u64, s: &Slot) -> (f64, f64) {
+        let len = self.slot_len(c.plan);
+        let run = (self.now.as_secs_f64() / len - k as f64).clamp(0.0, 1.0);
+        let told = if s.told.is_zero() { 0.0 } else { s.told.as_secs_f64() / len - k as f64 };
+        (run, if s.last { run } else { told.clamp(0.0, run) })
+    }
+
+    /// Units a slot that come in at all gateways, by what was seen of the windows kept (all of the told time,
+    /// this gateway's share of the rest) and by the usual, which weighs as much as an invocation or two.
+    fn pace(&self, c: &Customer) -> f64 {
+        let p = &self.set.plans[c.plan.0];
+        let usual = c.usual.unwrap_or(USUAL_FIRST * p.rate * self.slot_len(c.plan)).max(EPS);
+        let (share, none) = (c.share(p.burst), Slot::default());
+        let weight = USUAL_UNITS * self.set.most_units.max(1.0);
+        let (mut units, mut slots) = (weight, weight / usual);
+        for k in c.oldest..=self.slot_of(c.plan) {
+            let s = c.slots.get(&k).unwrap_or(&none);
+            let (run, told) = self.seen(c, k, s);
+            units += s.own.max(s.came) + s.others;
+            slots += told + share * (run - told);
+        }
+        units / slots
+    }
+
+    /// Units held by the customer's window as far as known, with others at this `pace` where nothing was told.
+    /// Where the window holds a burst that came after a quiet time, the store behind the quota refills as it
+    /// drains: the finished slots tell that as well, and the lower of the two holds.
+    fn sum(&self, c: &Customer, pace: f64) -> f64 {
         let p = &self.set.plans[c.plan.0];
         let len = self.slot_len(c.plan);
-        let at = self.now.as_secs_f64() / len;
-        let (slot, inside) = (at as u64, at.fract());
-        let usual = c.usual.unwrap_or(USUAL_FIRST * p.rate * len);
-        let share = c.share(p.burst);
+        let (slot, share) = (self.slot_of(c.plan), c.share(p.burst));
         let (mut window, mut debt, none) = (0.0, c.debt, Slot::default());
         for k in c.oldest..=slot {
             let s = c.slots.get(&k).unwrap_or(&none);
-            let run = if k == slot { inside } else { 1.0 };
-            let mut used = s.own + s.others;
-            let fresh = s.told == self.now || s.told.as_secs_f64() >= (k + 1) as f64 * len;
-            if guess && !s.last && !fresh {
-                let others = (usual * run * (1.0 - share)).max(ALIKE * s.own * (1.0 / share - 1.0));
-                used = s.own + others.max(s.others);
-            }
+            let (run, told) = self.seen(c, k, s);
+            let used = s.own + s.others + pace * (1.0 - share) * (run - told);
             if k + SLOTS >= slot {
                 // The oldest slot slides out as the running one fills.
-                window += if k + SLOTS == slot { used * (1.0 - inside) } else { used };
+                let left = 1.0 - (self.now.as_secs_f64() / len).fract();
+                window += if k + SLOTS == slot { used * left } else { used };
             }
             debt = (debt - p.rate * len * run).max(0.0) + used;
         }
@@ -505,8 +551,15 @@
         // A crowded counter answers many too late, and works on them all the same: follow its line, not
         // only its failures, or half of the calls are lost while every gateway pushes.
         let prompt = latency < timeout.mul_f64(ASK_PROMPT);
-        let step = if !ok { ASK_FALLS } else { if prompt { ASK_GROWS } else { ASK_CREEPS } };
-        self.ask = (self.ask * step).clamp(ASK_LEAST, 1.0);
+        self.prompt = if ok && prompt { self.prompt + 1.0 } else { 0.0 };
+        let step = if !ok {
+            ASK_FALLS
+        } else if !prompt {
+            ASK_LATE
+        } else {
+            1.0 + ASK_GROWS * self.prompt
+        };
+        self.ask = (self.ask * step.min(ASK_JUMPS)).clamp(ASK_LEAST, 1.0);
         let Some(c) = self.customers.get(&call.customer) else { return };
         let last = ok && call.read && self.settled(c.plan, call.slot, call.at);
         let c = self.customers.get_mut(&call.customer).expect("seen above");
@@ -535,7 +588,9 @@
         let inv = &self.invs[&id];
         let (customer, units, plan, slot) = (inv.customer.clone(), inv.units, inv.plan, inv.slot);
         self.roll(&customer);
-        let (burst, sum) = (self.set.plans[plan.0].burst, self.sum(&customer, true) + units);
+        let c = &self.customers[&customer];
+        let burst = self.set.plans[plan.0].burst;
+        let sum = self.sum(c, self.pace(c)) + units;
         if answered && self.ask >= ASK_READS && sum > UNREAD_UP_TO * burst {
             let mut reads = self.unread(&customer, self.slot_of(plan).saturating_sub(SLOTS));
             if reads.is_empty() && sum > burst {
@@ -552,6 +607,7 @@
                 return;
             }
         }
+        // Where what the others took is a guess, what is left by what is known is shared with it by chance.
         if sum > burst + EPS {
             return self.throttle(id);
         }
@@ -586,7 +642,8 @@
         } else {
             let retry_after = self.set.limits.retry_after.map(|most| {
                 let p = self.set.plans.get(inv.plan.0).filter(|p| p.rate > 0.0 && !inv.admitted);
-                let over = p.map_or(0.0, |p| (self.sum(&inv.customer, true) + inv.units - p.burst) / p.rate);
+                let c = p.and_then(|p| Some((p, self.customers.get(&inv.customer)?)));
+                let over = c.map_or(0.0, |(p, c)| (self.sum(c, self.pace(c)) + inv.units - p.burst) / p.rate);
                 Duration::from_secs_f64(over.max(self.expect(0.5, inv.op))).min(most)
             });
             self.out.push(Action::Throttle { inv: id, retry_after });
@@ -695,17 +752,25 @@
         if e.since.is_zero() || age >= 1.0 { 1.0 } else { cold }
     }
 
-    /// Units a second that went of late from here to each warm backend, on the average.
+    /// Units a second that each warm backend served of late for this gateway, on the average. What it turned
+    /// away does not count: in a jam that is most of what is sent.
     fn warm_flow(&self) -> f64 {
         let run = self.now.saturating_sub(self.flow.0).as_secs_f64();
         (self.flow.1 + self.flow.2) / (FLOW_SPAN.as_secs_f64() + run)
     }
 
+    /// Units that this gateway may send to a cold backend, none above 0 saved up.
+    fn credit(&self, t: &Tgt, warm: f64) -> f64 {
+        let span = self.set.overload_for.as_secs_f64().max(1e-3);
+        let least = COLD_LEAST / f64::from(self.set.gateways.max(1)) / span;
+        let earns = (COLD_PART * self.set.overload_factor * self.warm_flow()).max(least) * warm;
+        (t.credit + earns * self.now.saturating_sub(t.credit_at).as_secs_f64()).min(0.0)
+    }
+
     /// The best backend with a free place that this invocation may go to.
     fn choose(&mut self, id: InvId) -> Option<TgtId> {
         let inv = &self.invs[&id];
-        let usual = self.expect(0.5, inv.op);
-        let (flow, span) = (self.warm_flow(), self.set.overload_for);
+        let usual = self.lat.mean().unwrap_or(self.expect(0.5, inv.op));
         let start = PLACES_START / f64::from(self.set.gateways.max(1));
         let mut best: Option<(f64, TgtId)> = None;
         for (&t, tgt) in &self.tgts {
@@ -718,17 +783,13 @@
                 continue;
             }
             if warm < 1.0 {
-                // Pushed over, it stays down: keep to this gateway's part, which a last life may have used.
-                let budget =
-                    COLD_PART * self.set.overload_factor * warm * flow * span.as_secs_f64().max(1e-3);
-                let sent: f64 =
-                    tgt.cold_sent.iter().filter(|(at, _)| *at + span > self.now).map(|(_, u)| u).sum();
-                let used_up = sent > 0.0 && sent + inv.units > budget || self.now < self.began + span;
-                if used_up || self.rng.random::<f64>() >= warm {
+                // Pushed over, it stays down: this gateway's part is earned by time, from a start by chance,
+                // so that hundreds with less than one delivery each neither send one all at once nor none.
+                if self.credit(tgt, warm) < 0.0 || self.rng.random::<f64>() >= warm {
                     continue;
                 }
             }
-            let lat = tgt.lat.mean().unwrap_or(usual);
+            let lat = tgt.lat.mean_from(usual);
             let silent =
                 tgt.out.first().map_or(0.0, |o| self.now.saturating_sub(o.0.max(tgt.heard)).as_secs_f64());
             if silent > SILENT * lat.max(usual) {
@@ -736,7 +797,8 @@
             }
             let tried = inv.deliveries.iter().any(|d| d.tgt == t);
             let cost = lat.max(silent) * (tgt.out.len() as f64 + 1.0) / tgt.entry.weight.max(0.1)
-                * if tried { 100.0 } else { 1.0 };
+                * if tried { 100.0 } else { 1.0 }
+                * self.rng.random_range(1.0..1.0 + EQUAL); // Gateways that know as little choose apart.
             if best.is_none_or(|(b, _)| cost < b) {
                 best = Some((cost, t));
             }
@@ -791,18 +853,10 @@
         let patience = (PATIENCE * slow).max(left - PATIENCE * usual);
         let timeout = (again && !self.set.limits.parallel && patience + usual < left)
             .then(|| Duration::from_secs_f64(patience));
-        let ready = |t: &&Tgt| t.entry.health == Health::Up && self.warmth(&t.entry) >= 1.0;
-        let warm = ready(&&self.tgts[&tgt]);
-        let fleet = self.tgts.values().filter(ready).count().max(1) as f64;
+        let credit = self.credit(&self.tgts[&tgt], self.warmth(&self.tgts[&tgt].entry));
         let inv = self.invs.get_mut(&id).expect("held");
         let t = self.tgts.get_mut(&tgt).expect("chosen from it");
-        if warm {
-            self.flow.1 += units / fleet;
-        } else {
-            t.cold_sent.push_back((self.now, units));
-            let span = self.set.overload_for;
-            t.cold_sent.retain(|(at, _)| *at + span > self.now);
-        }
+        (t.credit, t.credit_at) = (credit - units, self.now);
         t.out.insert((self.now, id, inv.deliveries.len() as u32));
         let Entry { zone, cell, .. } = t.entry;
         inv.deliveries.push(Delivery { tgt, zone, cell, sent: self.now, out: true, idle: false });
@@ -820,6 +874,10 @@
         let n = f64::from(self.set.gateways.max(1));
         let op = self.invs.get(&id).map_or(0, |i| i.op.0);
         let enough = ENOUGH * self.set.operations[op].latency_objective.as_secs_f64();
+        let units = self.invs.get(&id).map_or(0.0, |i| i.units);
+        let ready = |t: &&Tgt| t.entry.health == Health::Up && self.warmth(&t.entry) >= 1.0;
+        let warm = self.tgts.get(&tgt).is_some_and(|t| ready(&t));
+        let fleet = self.tgts.values().filter(ready).count().max(1) as f64;
         if let Some(t) = self.tgts.get_mut(&tgt) {
             let full = t.out.len() as f64 + 1.0 > t.places;
             t.out.remove(&(self.now.saturating_sub(latency), id, no.0));
@@ -832,6 +890,9 @@
                     self.lat.note(latency, FLEET_SAMPLES);
                     t.lat.note(latency, TGT_SAMPLES);
                     t.fails = 0;
+                    if warm {
+                        self.flow.1 += units / fleet;
+                    }
                     // Holding more than it works on only makes a backend less efficient.
                     let ease = (enough / t.lat.mean().unwrap_or(enough)).clamp(0.75, 1.0);
                     if ease < 1.0 {
@@ -958,12 +1019,13 @@
             if t.places == 0.0 || t.entry.since != e.since {
                 // A new process: nothing measured of the last one holds.
                 let out = std::mem::take(&mut t.out);
-                *t = Tgt { out, places, heard, ..Tgt::default() };
+                let credit = -self.set.most_units.max(1.0) * self.rng.random::<f64>();
+                *t = Tgt { out, places, heard, credit, credit_at: heard, ..Tgt::default() };
             }
             t.entry = e.clone();
         }
         let recent = self.now.saturating_sub(self.set.overload_for);
-        let used = |t: &Tgt| t.cold_sent.back().is_some_and(|(at, _)| *at > recent) || !t.out.is_empty();
+        let used = |t: &Tgt| t.credit_at > recent || !t.out.is_empty();
         self.tgts.retain(|_, t| t.entry.health != Health::Gone || used(t));
         if form == ListForm::Restored && self.set.discovery == Discovery::Subscribed {
             self.out.push(Action::Watch { on: true });
@@ -975,8 +1037,11 @@
         if self.now < self.flow.0 + FLOW_SPAN {
             return;
         }
-        let spans = (self.now - self.flow.0).as_secs_f64() / FLOW_SPAN.as_secs_f64();
-        self.flow = (self.now, 0.0, if spans < 2.0 { self.flow.1 / spans } else { 0.0 });
+        // With no warm backend left, what the last ones took is still the best guide.
+        if self.flow.1 > 0.0 {
+            let spans = (self.now - self.flow.0).as_secs_f64() / FLOW_SPAN.as_secs_f64();
+            self.flow = (self.now, 0.0, self.flow.1 / spans);
+        }
         let plans = &self.set.plans;
         self.customers.retain(|_, c| {
             let p = &plans[c.plan.0];
@@ -994,6 +1059,6 @@
     /// Part of the customer's use that comes in here, drawn towards an even spread.
     fn share(&self, burst: f64) -> f64 {
         let even = EVEN_WEIGHT * burst.max(1.0);
-        ((self.own_seen + even / self.spread) / (self.all_seen + even)).clamp(0.05, 1.0)
+        ((self.own_seen + even / self.spread) / (self.all_seen + even)).clamp(0.2 / self.spread, 1.0)
     }
 }
