--- a/src/rules.rs
+++ b/src/rules.rs
@@ -83,8 +83,6 @@
 const PATIENCE: f64 = 2.0;
 /// Answers that the fleet's usual time weighs beside a backend's own.
 const USUAL_WEIGHT: f64 = 3.0;
-/// Expected times this much apart are equal: fewer than that no dozen of answers tells apart.
-const EQUAL: f64 = 0.2;
 /// Part of the budget for a cold backend that this gateway's part may use: work sizes vary by chance.
 const COLD_PART: f64 = 0.5;
 /// Units that a cold backend gets in a span of its budget from all gateways, where no warm one tells its flow.
@@ -798,7 +796,9 @@
             let tried = inv.deliveries.iter().any(|d| d.tgt == t);
             let cost = lat.max(silent) * (tgt.out.len() as f64 + 1.0) / tgt.entry.weight.max(0.1)
                 * if tried { 100.0 } else { 1.0 }
-                * self.rng.random_range(1.0..1.0 + EQUAL); // Gateways that know as little choose apart.
+                // The less of a backend is this gateway's, the less its own deliveries tell of the load there:
+                // then the choice is by lot, or hundreds that know as little would all choose the same.
+                * (-self.rng.random::<f64>().max(EPS).ln()).powf(1.0 / (1.0 + tgt.places));
             if best.is_none_or(|(b, _)| cost < b) {
                 best = Some((cost, t));
             }
