--- a/src/rules.rs
+++ b/src/rules.rs
@@ -39,6 +39,8 @@
 const USUAL_STEP: f64 = 0.3;
 /// Part of the rate that a customer not known yet is taken to use: most use less than half.
 const USUAL_FIRST: f64 = 0.5;
+/// The others hold to the quota too: no pace above this part of the rate is guessed of what they admit.
+const PACE_MOST: f64 = 1.5;
 /// What the usual weighs beside what was seen, in largest invocations.
 const USUAL_UNITS: f64 = 1.0;
 /// Weight (in bursts) of an even spread against what was seen of a customer's share: one window's worth.
@@ -48,7 +50,7 @@
 /// Asking falls by this at a failed call (out in ten), by that at a late one: a crowded counter works on
 /// calls that nobody waits for any more, so its line has to be kept short before calls fail.
 const ASK_FALLS: f64 = 0.7;
-const ASK_LATE: f64 = 0.85;
+const ASK_LATE: f64 = 1.0;
 /// Asking grows by this at a prompt call, times the prompt ones in a row, and by the latter at the most: little
 /// while late ones come in between, back within a dozen or two after an outage.
 const ASK_GROWS: f64 = 0.02;
@@ -498,7 +500,7 @@
             units += s.own.max(s.came) + s.others;
             slots += told + share * (run - told);
         }
-        units / slots
+        (units / slots).min(PACE_MOST * p.rate * self.slot_len(c.plan))
     }
 
     /// Units held by the customer's window as far as known, with others at this `pace` where nothing was told.
