One fading record of a customer's pace; guessed units may pass by what they cost

The stepwise usual gives way to units seen over slots seen, fading in 20 s; flagged repeats don't count as come; the slack for guessed units follows the plan's cost beyond quota.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,12 +35,18 @@
 const UNREAD_UP_TO: f64 = 0.5;
 /// A window told full is not asked about again for this long: add and undo would be calls for nothing.
 const FULL_FOR: Duration = Duration::from_millis(250);
-/// A usual slot moves this far to each newer one, and to what a meter tells: about a window's worth.
-const USUAL_STEP: f64 = 0.3;
+/// What was seen of a customer's pace fades over this: spikes pass in seconds, heavy customers stay heavy.
+const MEMORY: Duration = Duration::from_secs(20);
+/// Slots after which nothing of it is left.
+const GONE: u64 = 60;
+/// A meter's word counts as this part of a slot seen: the same word comes on many answers.
+const METER_WEIGHT: f64 = 0.3;
 /// Part of the rate that a customer not known yet is taken to use: most use less than half.
 const USUAL_FIRST: f64 = 0.5;
 /// The others hold to the quota too: no pace above this part of the rate is guessed of what they admit.
 const PACE_MOST: f64 = 1.5;
+/// Part of guessed units by which a window may be over, times what is earned inside over the cost beyond, less 1.
+const GUESS_SLACK: f64 = 0.3;
 /// What the usual weighs beside what was seen, in largest invocations.
 const USUAL_UNITS: f64 = 1.0;
 /// Weight (in bursts) of an even spread against what was seen of a customer's share: one window's worth.
@@ -173,8 +179,9 @@
     debt: f64,
     oldest: u64,
     learned: u64,
-    /// Units of a slot of late, by all gateways; none before the first total.
-    usual: Option<f64>,
+    /// Units seen of late, and the slots they were seen in: a told one whole, else this gateway's share of it.
+    units: f64,
+    span: f64,
     own_seen: f64,
     all_seen: f64,
     /// Invocations whose add is answered and that wait for reads.
@@ -400,7 +407,9 @@
         }
         self.roll(&customer);
         let c = self.customers.get_mut(&customer).expect("made above");
-        c.slots.entry(self.invs[&id].slot).or_default().came += units;
+        // A client's next try asks for nothing more; where it isn't flagged, refusals show as a surge.
+        c.slots.entry(self.invs[&id].slot).or_default().came +=
+            if self.invs[&id].repeat { 0.0 } else { units };
         // Known to be full, or no room in the line: refused early, without calls that are then undone.
         let burst = self.set.plans[plan.0].burst;
         let told =
@@ -448,18 +457,21 @@
         let Some(c) = self.customers.get(customer) else { return };
         let (slot, p) = (self.slot_of(c.plan), &self.set.plans[c.plan.0]);
         let (len, burst, refill) = (self.slot_len(c.plan), p.burst, p.rate * self.slot_len(c.plan));
-        let first = USUAL_FIRST * refill;
+        let fade = (-len / MEMORY.as_secs_f64()).exp();
+        let gone = slot.saturating_sub(c.learned).min(GONE);
         let c = self.customers.get_mut(customer).expect("seen above");
-        for (k, s) in c.slots.range(c.learned..slot).filter(|(_, s)| !s.told.is_zero()) {
-            let told = if s.last { 1.0 } else { (s.told.as_secs_f64() / len - *k as f64).clamp(0.0, 1.0) };
-            let (all, old) = (s.own + s.others, c.usual.unwrap_or(first));
-            c.usual = Some(old + USUAL_STEP * (all - told * old));
-            c.own_seen += s.own;
-            c.all_seen += all;
+        let (share, none) = (c.share(burst), Slot::default());
+        for k in slot - gone..slot {
+            let s = c.slots.get(&k).unwrap_or(&none);
+            let told = if s.last { 1.0 } else { (s.told.as_secs_f64() / len - k as f64).clamp(0.0, 1.0) };
+            c.units = c.units * fade + s.own.max(s.came) + s.others;
+            c.span = c.span * fade + told + share * (1.0 - told);
+            if told > 0.0 {
+                c.own_seen = c.own_seen * fade + s.own;
+                c.all_seen = c.all_seen * fade + s.own + s.others;
+            }
         }
         c.learned = slot;
-        let fade = if c.all_seen > 4.0 * burst { 0.5 } else { 1.0 };
-        (c.own_seen, c.all_seen) = (c.own_seen * fade, c.all_seen * fade);
         let from = slot.saturating_sub(2 * SLOTS);
         while c.oldest < from {
             // What was never read may have been used up elsewhere: no credit is drawn from it.
@@ -475,7 +487,8 @@
     fn learn(&mut self, id: InvId, used: f64) {
         let Some(inv) = self.invs.get(&id).filter(|i| self.metered(i.plan)) else { return };
         let slot = used * self.set.plans[inv.plan.0].rate * self.slot_len(inv.plan);
-        self.customers.get_mut(&inv.customer).into_iter().for_each(|c| c.usual = toward(c.usual, slot));
+        let Some(c) = self.customers.get_mut(&inv.customer) else { return };
+        (c.units, c.span) = (c.units + METER_WEIGHT * slot, c.span + METER_WEIGHT);
     }
 
     /// Part of slot `k` that has passed, and the part of it in which the others' units are told.
@@ -490,16 +503,13 @@
     /// this gateway's share of the rest) and by the usual, which weighs as much as an invocation or two.
     fn pace(&self, c: &Customer) -> f64 {
         let p = &self.set.plans[c.plan.0];
-        let usual = c.usual.unwrap_or(USUAL_FIRST * p.rate * self.slot_len(c.plan)).max(EPS);
-        let (share, none) = (c.share(p.burst), Slot::default());
+        let usual = USUAL_FIRST * p.rate * self.slot_len(c.plan);
         let weight = USUAL_UNITS * self.set.most_units.max(1.0);
-        let (mut units, mut slots) = (weight, weight / usual);
-        for k in c.oldest..=self.slot_of(c.plan) {
-            let s = c.slots.get(&k).unwrap_or(&none);
-            let (run, told) = self.seen(c, k, s);
-            units += s.own.max(s.came) + s.others;
-            slots += told + share * (run - told);
-        }
+        let (k, none) = (self.slot_of(c.plan), Slot::default());
+        let s = c.slots.get(&k).unwrap_or(&none);
+        let (run, told) = self.seen(c, k, s);
+        let units = weight + c.units + s.own.max(s.came) + s.others;
+        let slots = weight / usual + c.span + told + c.share(p.burst) * (run - told);
         (units / slots).min(PACE_MOST * p.rate * self.slot_len(c.plan))
     }
 
@@ -589,7 +599,7 @@
         let (customer, units, plan, slot) = (inv.customer.clone(), inv.units, inv.plan, inv.slot);
         self.roll(&customer);
         let c = &self.customers[&customer];
-        let burst = self.set.plans[plan.0].burst;
+        let (burst, known) = (self.set.plans[plan.0].burst, self.sum(c, 0.0) + units);
         let sum = self.sum(c, self.pace(c)) + units;
         if answered && self.ask >= ASK_READS && sum > UNREAD_UP_TO * burst {
             let mut reads = self.unread(&customer, self.slot_of(plan).saturating_sub(SLOTS));
@@ -608,7 +618,10 @@
             }
         }
         // Where what the others took is a guess, what is left by what is known is shared with it by chance.
-        if sum > burst + EPS {
+        // A guess is no proof: what is likely inside is let in, up to what beyond quota would cost it.
+        let p = &self.set.plans[plan.0];
+        let slack = GUESS_SLACK * (1.0 / (p.over_cost - p.over_value).max(GUESS_SLACK) - 1.0);
+        if sum > burst + EPS + slack * (sum - known) {
             return self.throttle(id);
         }
         let c = self.customers.get_mut(&customer).expect("has an invocation");
@@ -1048,15 +1061,12 @@
         self.customers.retain(|_, c| {
             let p = &plans[c.plan.0];
             let fill = (2.0 * p.burst / p.rate.max(EPS)).max(p.ceiling_burst / p.ceiling_rate.max(EPS));
+            let fill = fill.max(MEMORY.as_secs_f64());
             c.held > 0 || self.now < c.used_at + Duration::from_secs_f64(fill) + FLOW_SPAN
         });
     }
 }
 
-fn toward(usual: Option<f64>, newer: f64) -> Option<f64> {
-    Some(usual.map_or(newer, |u| u + USUAL_STEP * (newer - u)))
-}
-
 impl Customer {
     /// Part of the customer's use that comes in here, drawn towards an even spread.
     fn share(&self, burst: f64) -> f64 {
