--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,8 +22,10 @@
 
 use crate::interface::*;
 
-/// Slots in a window: finer follows the window closer, but costs a read for each at each gateway.
-const SLOTS: u64 = 3;
+/// Gateways of a customer up to which its window is cut in two slots, else one: finer follows the window closer,
+/// but each gateway reads each slot, and where few invocations come in at each, these reads would outnumber the
+/// adds, and a call has to tell as much of the window as it can.
+const CUT_SPREAD: u32 = 4;
 /// Slots of 60 s at most are kept by the counter; names outlive the window by this many slots.
 const KEEP: u64 = 3;
 const KEEP_MOST: Duration = Duration::from_secs(60);
@@ -64,7 +66,7 @@
 /// A call answered later than this part of its time-out stood in line.
 const ASK_PROMPT: f64 = 0.3;
 /// Reads are left out below this chance of asking: a crowded counter's calls are for adds.
-const ASK_READS: f64 = 0.5;
+const ASK_READS: f64 = 0.95;
 /// Places of a backend at all gateways together: at first, at least (a few cores' worth), and at most.
 const PLACES_START: f64 = 12.0;
 const PLACES_LEAST: f64 = 5.0;
@@ -170,6 +172,9 @@
 struct Customer {
     plan: PlanId,
     spread: f64,
+    /// Slots that its window is cut into, and their length in seconds.
+    cut: u64,
+    len: f64,
     /// Part of a ceiling that is this gateway's.
     part: f64,
     /// This gateway's number among the customer's.
@@ -353,19 +358,14 @@
 
     // ---- The design: the shared count of each customer's window.
 
-    fn slot_len(&self, plan: PlanId) -> f64 {
-        let p = &self.set.plans[plan.0];
-        (p.burst / p.rate / SLOTS as f64).clamp(self.set.tick.as_secs_f64().max(1e-3), SLOT_MOST)
-    }
-
-    fn slot_of(&self, plan: PlanId) -> u64 {
-        (self.now.as_secs_f64() / self.slot_len(plan)) as u64
+    fn slot_of(&self, c: &Customer) -> u64 {
+        (self.now.as_secs_f64() / c.len) as u64
     }
 
     /// A slot's total is final some time after its end: late adds and undos are on their way till then.
-    fn settled(&self, plan: PlanId, slot: u64, at: Duration) -> bool {
+    fn settled(&self, c: &Customer, slot: u64, at: Duration) -> bool {
         let timeout = self.set.counter.as_ref().map_or(Duration::ZERO, |c| c.timeout);
-        at >= Duration::from_secs_f64((slot + 1) as f64 * self.slot_len(plan)) + timeout * FINAL_AFTER
+        at >= Duration::from_secs_f64((slot + 1) as f64 * c.len) + timeout * FINAL_AFTER
     }
 
     fn metered(&self, plan: PlanId) -> bool {
@@ -384,14 +384,20 @@
         let metered = self.metered(inv.plan);
         let (customer, units, plan) = (inv.customer.clone(), inv.units, inv.plan);
         if let Some(p) = self.set.plans.get(plan.0) {
-            inv.slot = if metered { self.slot_of(plan) } else { 0 };
+            // The same at all gateways of the customer, or they would count under different names.
+            let cut = if spread > CUT_SPREAD { 1 } else { 2 };
+            let window = if metered { p.burst / p.rate } else { 1.0 };
+            let len = (window / cut as f64).clamp(self.set.tick.as_secs_f64().max(1e-3), SLOT_MOST);
+            let slot = (self.now.as_secs_f64() / len) as u64;
             let part = if inside { 1.0 / f64::from(spread) } else { 0.0 };
             let lived = (self.now - self.began).as_secs_f64();
             let c = self.customers.entry(customer.clone()).or_insert_with(|| Customer {
                 plan,
+                cut,
+                len,
                 debt: p.burst,
-                oldest: inv.slot.saturating_sub(2 * SLOTS),
-                learned: inv.slot,
+                oldest: slot.saturating_sub(2 * cut),
+                learned: slot,
                 // A restart must not hand out the ceiling's store again: a life earns its part from nothing.
                 ceiling: (p.ceiling_rate * lived).min(p.ceiling_burst) * part,
                 ceiling_at: self.now,
@@ -399,6 +405,7 @@
             });
             (c.spread, c.turn, c.part) = (f64::from(spread), f64::from(turn), part);
             c.held += 1;
+            inv.slot = (self.now.as_secs_f64() / c.len) as u64;
         }
         self.invs.insert(id, inv);
         if !metered {
@@ -436,7 +443,7 @@
 
     fn call(&mut self, customer: CustomerId, slot: u64, add: f64, asks: Option<InvId>, read: bool) {
         let c = self.customers.get_mut(&customer).expect("is counted for");
-        let plan = c.plan;
+        let keep = Duration::from_secs_f64(c.len * (2 * c.cut + KEEP) as f64).min(KEEP_MOST);
         let s = c.slots.entry(slot).or_default();
         s.put += add;
         let upto = s.put;
@@ -446,7 +453,6 @@
             text = format!("{:x}", text.bytes().fold(0xcbf2_9ce4_8422_2325, step)); // FNV-1a
         }
         let name = format!("{slot}/{text}");
-        let keep = Duration::from_secs_f64(self.slot_len(plan) * (2 * SLOTS + KEEP) as f64).min(KEEP_MOST);
         let call = Call { customer, slot, add, upto, asks, read, at: self.now };
         self.calls.entry(name.clone()).or_default().push_back(call);
         self.out.push(Action::Count { name, add, keep });
@@ -455,8 +461,8 @@
     /// Learns from finished slots and ages them out of the two windows kept, into the debt they leave.
     fn roll(&mut self, customer: &CustomerId) {
         let Some(c) = self.customers.get(customer) else { return };
-        let (slot, p) = (self.slot_of(c.plan), &self.set.plans[c.plan.0]);
-        let (len, burst, refill) = (self.slot_len(c.plan), p.burst, p.rate * self.slot_len(c.plan));
+        let (slot, len, p) = (self.slot_of(c), c.len, &self.set.plans[c.plan.0]);
+        let (burst, refill) = (p.burst, p.rate * len);
         let fade = (-len / MEMORY.as_secs_f64()).exp();
         let gone = slot.saturating_sub(c.learned).min(GONE);
         let c = self.customers.get_mut(customer).expect("seen above");
@@ -472,7 +478,7 @@
             }
         }
         c.learned = slot;
-        let from = slot.saturating_sub(2 * SLOTS);
+        let from = slot.saturating_sub(2 * c.cut);
         while c.oldest < from {
             // What was never read may have been used up elsewhere: no credit is drawn from it.
             c.debt = match c.slots.remove(&c.oldest).filter(|s| s.last) {
@@ -486,14 +492,15 @@
     /// The meter's word on an answer: the customer's use over all gateways of late.
     fn learn(&mut self, id: InvId, used: f64) {
         let Some(inv) = self.invs.get(&id).filter(|i| self.metered(i.plan)) else { return };
-        let slot = used * self.set.plans[inv.plan.0].rate * self.slot_len(inv.plan);
+        let rate = self.set.plans[inv.plan.0].rate;
         let Some(c) = self.customers.get_mut(&inv.customer) else { return };
+        let slot = used * rate * c.len;
         (c.units, c.span) = (c.units + METER_WEIGHT * slot, c.span + METER_WEIGHT);
     }
 
     /// Part of slot `k` that has passed, and the part of it in which the others' units are told.
     fn seen(&self, c: &Customer, k: u64, s: &Slot) -> (f64, f64) {
-        let len = self.slot_len(c.plan);
+        let len = c.len;
         let run = (self.now.as_secs_f64() / len - k as f64).clamp(0.0, 1.0);
         let told = if s.told.is_zero() { 0.0 } else { s.told.as_secs_f64() / len - k as f64 };
         (run, if s.last { run } else { told.clamp(0.0, run) })
@@ -503,14 +510,14 @@
     /// this gateway's share of the rest) and by the usual, which weighs as much as an invocation or two.
     fn pace(&self, c: &Customer) -> f64 {
         let p = &self.set.plans[c.plan.0];
-        let usual = USUAL_FIRST * p.rate * self.slot_len(c.plan);
+        let usual = USUAL_FIRST * p.rate * c.len;
         let weight = USUAL_UNITS * self.set.most_units.max(1.0);
-        let (k, none) = (self.slot_of(c.plan), Slot::default());
+        let (k, none) = (self.slot_of(c), Slot::default());
         let s = c.slots.get(&k).unwrap_or(&none);
         let (run, told) = self.seen(c, k, s);
         let units = weight + c.units + s.own.max(s.came) + s.others;
         let slots = weight / usual + c.span + told + c.share(p.burst) * (run - told);
-        (units / slots).min(PACE_MOST * p.rate * self.slot_len(c.plan))
+        (units / slots).min(PACE_MOST * p.rate * c.len)
     }
 
     /// Units held by the customer's window as far as known, with others at this `pace` where nothing was told.
@@ -518,22 +525,21 @@
     /// drains: the finished slots tell that as well, and the lower of the two holds.
     fn sum(&self, c: &Customer, pace: f64) -> f64 {
         let p = &self.set.plans[c.plan.0];
-        let len = self.slot_len(c.plan);
-        let (slot, share) = (self.slot_of(c.plan), c.share(p.burst));
+        let (len, slot, share) = (c.len, self.slot_of(c), c.share(p.burst));
         let (mut window, mut debt, none) = (0.0, c.debt, Slot::default());
         for k in c.oldest..=slot {
             let s = c.slots.get(&k).unwrap_or(&none);
             let (run, told) = self.seen(c, k, s);
             let used = s.own + s.others + pace * (1.0 - share) * (run - told);
-            if k + SLOTS >= slot {
+            if k + c.cut >= slot {
                 // The oldest slot slides out as the running one fills.
                 let left = 1.0 - (self.now.as_secs_f64() / len).fract();
-                window += if k + SLOTS == slot { used * left } else { used };
+                window += if k + c.cut == slot { used * left } else { used };
             }
             debt = (debt - p.rate * len * run).max(0.0) + used;
         }
         // A window longer than the counter remembers: only the replayed store bounds it.
-        if len * SLOTS as f64 + EPS < p.burst / p.rate { debt } else { window.min(debt) }
+        if len * c.cut as f64 + EPS < p.burst / p.rate { debt } else { window.min(debt) }
     }
 
     /// Finished slots, from `from` on, whose final total is there to be read.
@@ -541,9 +547,9 @@
         let (c, none) = (&self.customers[customer], Slot::default());
         let open = |k: &u64| {
             let s = c.slots.get(k).unwrap_or(&none);
-            !s.last && !s.failed && (self.settled(c.plan, *k, self.now) || s.told.is_zero())
+            !s.last && !s.failed && (self.settled(c, *k, self.now) || s.told.is_zero())
         };
-        (c.oldest.max(from)..self.slot_of(c.plan)).filter(open).collect()
+        (c.oldest.max(from)..self.slot_of(c)).filter(open).collect()
     }
 
     fn told(&mut self, name: String, outcome: Outcome, total: f64, latency: Duration) {
@@ -571,7 +577,7 @@
         };
         self.ask = (self.ask * step.min(ASK_JUMPS)).clamp(ASK_LEAST, 1.0);
         let Some(c) = self.customers.get(&call.customer) else { return };
-        let last = ok && call.read && self.settled(c.plan, call.slot, call.at);
+        let last = ok && call.read && self.settled(c, call.slot, call.at);
         let c = self.customers.get_mut(&call.customer).expect("seen above");
         if let Some(s) = c.slots.get_mut(&call.slot) {
             s.reading &= !call.read;
@@ -602,7 +608,7 @@
         let (burst, known) = (self.set.plans[plan.0].burst, self.sum(c, 0.0) + units);
         let sum = self.sum(c, self.pace(c)) + units;
         if answered && self.ask >= ASK_READS && sum > UNREAD_UP_TO * burst {
-            let mut reads = self.unread(&customer, self.slot_of(plan).saturating_sub(SLOTS));
+            let mut reads = self.unread(&customer, self.slot_of(c).saturating_sub(c.cut));
             if reads.is_empty() && sum > burst {
                 reads = self.unread(&customer, 0);
             }
@@ -949,7 +955,7 @@
         if diff.abs() < EPS || !inv.admitted || !self.metered(plan) {
             return;
         }
-        let slot = self.slot_of(plan);
+        let slot = self.slot_of(&self.customers[&customer]);
         let s = self.customers.get_mut(&customer).expect("has an invocation").slots.entry(slot).or_default();
         s.own += diff;
         if self.set.counter.is_some() {
