--- a/src/rules.rs
+++ b/src/rules.rs
@@ -42,7 +42,7 @@
 /// Slots after which nothing of it is left.
 const GONE: u64 = 60;
 /// A meter's word counts as this part of a slot seen: the same word comes on many answers.
-const METER_WEIGHT: f64 = 0.3;
+const METER_WEIGHT: f64 = 1.0;
 /// Part of the rate that a customer not known yet is taken to use: most use less than half.
 const USUAL_FIRST: f64 = 0.5;
 /// The others hold to the quota too: no pace above this part of the rate is guessed of what they admit.
@@ -57,7 +57,7 @@
 const ASK_LEAST: f64 = 0.05;
 /// Asking falls by this at a failed call (out in ten), by that at a late one: a crowded counter works on
 /// calls that nobody waits for any more, so its line has to be kept short before calls fail.
-const ASK_FALLS: f64 = 0.7;
+const ASK_FALLS: f64 = 0.85;
 const ASK_LATE: f64 = 1.0;
 /// Asking grows by this at a prompt call, times the prompt ones in a row, and by the latter at the most: little
 /// while late ones come in between, back within a dozen or two after an outage.
@@ -99,8 +99,6 @@
 const COLD_LEAST: f64 = 2.0;
 /// Span over which the flow to warm backends is taken: long against chance, short against load's swing.
 const FLOW_SPAN: Duration = Duration::from_secs(4);
-/// Turns under a cap go round in this part of the latency objective: a wait that leaves time to answer.
-const CYCLE: f64 = 0.5;
 /// While work waits in line, it is looked through at least this often: blocked backends come free by time.
 const LOOK: Duration = Duration::from_millis(20);
 /// Longest timer asked for; a later one is asked for again then.
@@ -177,8 +175,6 @@
     len: f64,
     /// Part of a ceiling that is this gateway's.
     part: f64,
-    /// This gateway's number among the customer's.
-    turn: f64,
     slots: BTreeMap<u64, Slot>,
     /// Units over the refill at the start of the oldest slot kept (an upper bound).
     debt: f64,
@@ -403,7 +399,7 @@
                 ceiling_at: self.now,
                 ..Customer::default()
             });
-            (c.spread, c.turn, c.part) = (f64::from(spread), f64::from(turn), part);
+            (c.spread, c.part) = (f64::from(spread), part);
             c.held += 1;
             inv.slot = (self.now.as_secs_f64() / c.len) as u64;
         }
@@ -827,16 +823,13 @@
         best.map(|(_, t)| t)
     }
 
-    /// A plan's cap on deliveries out at once: this gateway's part of it. Where the cap has fewer places than
-    /// the customer has gateways, they take turns by the shared clock: held for a moment, not beyond quota.
+    /// A plan's cap on deliveries out at once: this gateway's part of it, one at least.
     fn capped(&self, inv: &Inv) -> bool {
         let plan = self.set.plans.get(inv.plan.0).filter(|p| p.max_out > 0.0);
         let Some(&Plan { max_out: cap, burst, .. }) = plan else { return false };
         let c = &self.customers[&inv.customer];
         let part = (cap * c.share(burst)).round().max(1.0);
-        let cycle = self.set.operations[inv.op.0].latency_objective.as_secs_f64() * CYCLE;
-        let at = (self.now.as_secs_f64() / cycle).fract() * c.spread;
-        f64::from(c.out) >= part || (c.turn - at).rem_euclid(c.spread) >= cap
+        f64::from(c.out) >= part
     }
 
     fn pump(&mut self) {
