--- a/src/rules.rs
+++ b/src/rules.rs
@@ -50,7 +50,7 @@
 /// Part of guessed units by which a window may be over, times what is earned inside over the cost beyond, less 1.
 const GUESS_SLACK: f64 = 0.3;
 /// What the usual weighs beside what was seen, in largest invocations.
-const USUAL_UNITS: f64 = 1.0;
+const USUAL_UNITS: f64 = 1.5;
 /// Weight (in bursts) of an even spread against what was seen of a customer's share: one window's worth.
 const EVEN_WEIGHT: f64 = 1.0;
 /// Part of invocations that still ask a dead counter: a few a second find its return, none wait long.
@@ -507,7 +507,7 @@
     fn pace(&self, c: &Customer) -> f64 {
         let p = &self.set.plans[c.plan.0];
         let usual = USUAL_FIRST * p.rate * c.len;
-        let weight = USUAL_UNITS * self.set.most_units.max(1.0);
+        let weight = USUAL_UNITS * (1.0 + self.set.most_units) / 2.0;
         let (k, none) = (self.slot_of(c), Slot::default());
         let s = c.slots.get(&k).unwrap_or(&none);
         let (run, told) = self.seen(c, k, s);
