A plan turned away as full goes elsewhere; a reset does not close a backend

Now each plan's part turned away is kept for each backend and weighs on the choice. Also holds against any refusal that falls on some plans alone; may hurt where a full backend turns all away: each plan learns it for itself.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -80,6 +80,8 @@
 const ENOUGH: f64 = 0.1;
 /// A silent backend is left alone after this many usual answer times, but for its own line moving.
 const SILENT: f64 = 6.0;
+/// A refusal moves a plan's part turned away this far to all, an answer this far back: a cap lets some through.
+const FULL_STEP: f64 = 0.5;
 /// A backend that refuses connections is tried again after this, doubled at each failure up to the most.
 const BACK_FIRST: Duration = Duration::from_millis(100);
 const BACK_MOST: Duration = Duration::from_secs(2);
@@ -240,6 +242,8 @@
     lat: Hist,
     blocked: Duration,
     fails: u32,
+    /// Part of each plan's deliveries that it turned away of late.
+    full: BTreeMap<PlanId, f64>,
     heard: Duration,
     /// Units that this gateway may send while it is cold, earned up to `credit_at`; a delivery needs one of 0.
     credit: f64,
@@ -811,7 +815,8 @@
                 continue; // Stalled, cut off or gone unseen: what it holds shows first whether it lives.
             }
             let tried = inv.deliveries.iter().any(|d| d.tgt == t);
-            let cost = lat.max(silent) * (tgt.out.len() as f64 + 1.0) / tgt.entry.weight.max(0.1)
+            let taken = 1.0 - tgt.full.get(&inv.plan).copied().unwrap_or(0.0);
+            let cost = lat.max(silent) / taken.powi(2) * (tgt.out.len() as f64 + 1.0) / tgt.entry.weight.max(0.1)
                 * if tried { 100.0 } else { 1.0 }
                 // The less of a backend is this gateway's, the less its own deliveries tell of the load there:
                 // then the choice is by lot, or hundreds that know as little would all choose the same.
@@ -888,7 +893,7 @@
         let n = f64::from(self.set.gateways.max(1));
         let op = self.invs.get(&id).map_or(0, |i| i.op.0);
         let enough = ENOUGH * self.set.operations[op].latency_objective.as_secs_f64();
-        let units = self.invs.get(&id).map_or(0.0, |i| i.units);
+        let (units, plan) = self.invs.get(&id).map_or((0.0, PlanId(0)), |i| (i.units, i.plan));
         let ready = |t: &&Tgt| t.entry.health == Health::Up && self.warmth(&t.entry) >= 1.0;
         let warm = self.tgts.get(&tgt).is_some_and(|t| ready(&t));
         let fleet = self.tgts.values().filter(ready).count().max(1) as f64;
@@ -904,6 +909,7 @@
                     self.lat.note(latency, FLEET_SAMPLES);
                     t.lat.note(latency, TGT_SAMPLES);
                     t.fails = 0;
+                    t.full.get_mut(&plan).into_iter().for_each(|f| *f *= FULL_STEP);
                     if warm {
                         self.flow.1 += units / fleet;
                     }
@@ -919,13 +925,19 @@
                     t.lat.note(latency, TGT_SAMPLES);
                     t.places *= PLACES_FALL;
                 }
-                Outcome::Full | Outcome::ConnectFailed | Outcome::Reset => {
+                // One plan's work may be turned away where others' is not: it then goes elsewhere, and only it.
+                Outcome::Full => {
+                    let full = t.full.entry(plan).or_default();
+                    *full += FULL_STEP * (1.0 - *full);
+                }
+                Outcome::ConnectFailed => {
                     t.places *= PLACES_FALL;
                     let back = BACK_FIRST * 2u32.pow(t.fails.min(6));
-                    t.fails += u32::from(outcome != Outcome::Full);
+                    t.fails += 1;
                     t.blocked = t.blocked.max(self.now + back.min(BACK_MOST));
                 }
-                Outcome::Failed | Outcome::Canceled | Outcome::Ignored => {}
+                // A broken connection tells of the way there, not of the backend's load or life.
+                Outcome::Reset | Outcome::Failed | Outcome::Canceled | Outcome::Ignored => {}
             }
             t.places = t.places.clamp(PLACES_LEAST / n, PLACES_MOST / n);
             if t.places < 1.0 && t.out.is_empty() {
