Places of the whole fleet at each gateway; no standstill; tests of the failures found

Now a gateway's parts of places make a sum for the fleet that all its answers move, the rest is gone, and with nothing out one goes. Also holds against any jam of the whole fleet; may hold back a gateway with far more than an even part of the work.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -41,8 +41,6 @@
 const MEMORY: Duration = Duration::from_secs(20);
 /// Slots after which nothing of it is left.
 const GONE: u64 = 60;
-/// A meter's word counts as this part of a slot seen: the same word comes on many answers.
-const METER_WEIGHT: f64 = 1.0;
 /// Part of the rate that a customer not known yet is taken to use: most use less than half.
 const USUAL_FIRST: f64 = 0.5;
 /// The others hold to the quota too: no pace above this part of the rate is guessed of what they admit.
@@ -55,22 +53,21 @@
 const EVEN_WEIGHT: f64 = 1.0;
 /// Part of invocations that still ask a dead counter: a few a second find its return, none wait long.
 const ASK_LEAST: f64 = 0.05;
-/// Asking falls by this at a failed call (out in ten), by that at a late one: a crowded counter works on
-/// calls that nobody waits for any more, so its line has to be kept short before calls fail.
+/// Asking falls by this at a failed call: out in twenty, and few are lost where a counter is too small for good.
 const ASK_FALLS: f64 = 0.85;
-const ASK_LATE: f64 = 1.0;
-/// Asking grows by this at a prompt call, times the prompt ones in a row, and by the latter at the most: little
-/// while late ones come in between, back within a dozen or two after an outage.
+/// It grows by this at a prompt call, times the prompt ones in a row, by the latter at the most: little while late
+/// ones come in between (gateways must not all come back together), back in two dozen after an outage.
 const ASK_GROWS: f64 = 0.02;
 const ASK_JUMPS: f64 = 1.35;
 /// A call answered later than this part of its time-out stood in line.
 const ASK_PROMPT: f64 = 0.3;
 /// Reads are left out below this chance of asking: a crowded counter's calls are for adds.
 const ASK_READS: f64 = 0.95;
-/// Places of a backend at all gateways together: at first, at least (a few cores' worth), and at most.
+/// Places of a backend at all gateways together: at first, at least (a few cores' worth), and the
+/// most that a gateway reckons with for the whole fleet.
 const PLACES_START: f64 = 12.0;
 const PLACES_LEAST: f64 = 5.0;
-const PLACES_MOST: f64 = 200.0;
+const PLACES_MOST: f64 = 60.0;
 /// Places that all gateways together add in about an answer's time, while a backend is at ease.
 const PLACES_GROW: f64 = 3.0;
 /// Places fall by this at a refusal or time-out.
@@ -168,6 +165,13 @@
     failed: bool,
 }
 
+impl Slot {
+    /// The part of this slot, of the `run` that has passed of it, in which the others' units are told.
+    fn part(&self, k: u64, len: f64, run: f64) -> f64 {
+        if self.last { run } else { (self.told.as_secs_f64() / len - k as f64).clamp(0.0, run) }
+    }
+}
+
 #[derive(Default)]
 struct Customer {
     plan: PlanId,
@@ -286,6 +290,7 @@
     looks: bool,
     ask: f64,
     prompt: f64,
+    places: f64,
     lat: Hist,
     copies: f64,
     flow: (Duration, f64, f64),
@@ -308,6 +313,7 @@
             looks: false,
             ask: 1.0,
             prompt: 0.0,
+            places: PLACES_START,
             lat: Hist::default(),
             copies: 0.0,
             flow: (now, 0.0, 0.0),
@@ -339,8 +345,8 @@
             Event::Timer { .. } => self.armed = self.armed.filter(|a| *a > now + self.set.tick),
             Event::Probed { .. } | Event::Peer { .. } => {}
         }
-        self.run_due();
         self.pump();
+        self.run_due();
         self.sweep();
         if !self.line.is_empty() && !self.looks {
             self.looks = true;
@@ -469,7 +475,7 @@
         let (share, none) = (c.share(burst), Slot::default());
         for k in slot - gone..slot {
             let s = c.slots.get(&k).unwrap_or(&none);
-            let told = if s.last { 1.0 } else { (s.told.as_secs_f64() / len - k as f64).clamp(0.0, 1.0) };
+            let told = s.part(k, len, 1.0);
             c.units = c.units * fade + s.own.max(s.came) + s.others;
             c.span = c.span * fade + told + share * (1.0 - told);
             if told > 0.0 {
@@ -495,15 +501,7 @@
         let rate = self.set.plans[inv.plan.0].rate;
         let Some(c) = self.customers.get_mut(&inv.customer) else { return };
         let slot = used * rate * c.len;
-        (c.units, c.span) = (c.units + METER_WEIGHT * slot, c.span + METER_WEIGHT);
-    }
-
-    /// Part of slot `k` that has passed, and the part of it in which the others' units are told.
-    fn seen(&self, c: &Customer, k: u64, s: &Slot) -> (f64, f64) {
-        let len = c.len;
-        let run = (self.now.as_secs_f64() / len - k as f64).clamp(0.0, 1.0);
-        let told = if s.told.is_zero() { 0.0 } else { s.told.as_secs_f64() / len - k as f64 };
-        (run, if s.last { run } else { told.clamp(0.0, run) })
+        (c.units, c.span) = (c.units + slot, c.span + 1.0);
     }
 
     /// Units a slot that come in at all gateways, by what was seen of the windows kept (all of the told time,
@@ -512,11 +510,11 @@
         let p = &self.set.plans[c.plan.0];
         let usual = USUAL_FIRST * p.rate * c.len;
         let weight = USUAL_UNITS * (1.0 + self.set.most_units) / 2.0;
-        let (k, none) = (self.slot_of(c), Slot::default());
-        let s = c.slots.get(&k).unwrap_or(&none);
-        let (run, told) = self.seen(c, k, s);
+        let (at, none) = (self.now.as_secs_f64() / c.len, Slot::default());
+        let s = c.slots.get(&(at as u64)).unwrap_or(&none);
+        let told = s.part(at as u64, c.len, at.fract());
         let units = weight + c.units + s.own.max(s.came) + s.others;
-        let slots = weight / usual + c.span + told + c.share(p.burst) * (run - told);
+        let slots = weight / usual + c.span + told + c.share(p.burst) * (at.fract() - told);
         (units / slots).min(PACE_MOST * p.rate * c.len)
     }
 
@@ -525,16 +523,16 @@
     /// drains: the finished slots tell that as well, and the lower of the two holds.
     fn sum(&self, c: &Customer, pace: f64) -> f64 {
         let p = &self.set.plans[c.plan.0];
-        let (len, slot, share) = (c.len, self.slot_of(c), c.share(p.burst));
+        let (len, at, share) = (c.len, self.now.as_secs_f64() / c.len, c.share(p.burst));
+        let slot = at as u64;
         let (mut window, mut debt, none) = (0.0, c.debt, Slot::default());
         for k in c.oldest..=slot {
             let s = c.slots.get(&k).unwrap_or(&none);
-            let (run, told) = self.seen(c, k, s);
-            let used = s.own + s.others + pace * (1.0 - share) * (run - told);
+            let run = (at - k as f64).min(1.0);
+            let used = s.own + s.others + pace * (1.0 - share) * (run - s.part(k, len, run));
             if k + c.cut >= slot {
                 // The oldest slot slides out as the running one fills.
-                let left = 1.0 - (self.now.as_secs_f64() / len).fract();
-                window += if k + c.cut == slot { used * left } else { used };
+                window += if k + c.cut == slot { used * (1.0 - at.fract()) } else { used };
             }
             debt = (debt - p.rate * len * run).max(0.0) + used;
         }
@@ -566,16 +564,10 @@
         }
         // A crowded counter answers many too late, and works on them all the same: follow its line, not
         // only its failures, or half of the calls are lost while every gateway pushes.
-        let prompt = latency < timeout.mul_f64(ASK_PROMPT);
-        self.prompt = if ok && prompt { self.prompt + 1.0 } else { 0.0 };
-        let step = if !ok {
-            ASK_FALLS
-        } else if !prompt {
-            ASK_LATE
-        } else {
-            1.0 + ASK_GROWS * self.prompt
-        };
-        self.ask = (self.ask * step.min(ASK_JUMPS)).clamp(ASK_LEAST, 1.0);
+        let prompt = ok && latency < timeout.mul_f64(ASK_PROMPT);
+        self.prompt = if prompt { self.prompt + 1.0 } else { 0.0 };
+        let step = if ok { (1.0 + ASK_GROWS * self.prompt).min(ASK_JUMPS) } else { ASK_FALLS };
+        self.ask = (self.ask * step).clamp(ASK_LEAST, 1.0);
         let Some(c) = self.customers.get(&call.customer) else { return };
         let last = ok && call.read && self.settled(c, call.slot, call.at);
         let c = self.customers.get_mut(&call.customer).expect("seen above");
@@ -623,7 +615,6 @@
                 return;
             }
         }
-        // Where what the others took is a guess, what is left by what is known is shared with it by chance.
         // A guess is no proof: what is likely inside is let in, up to what beyond quota would cost it.
         let p = &self.set.plans[plan.0];
         let slack = GUESS_SLACK * (1.0 / (p.over_cost - p.over_value).max(GUESS_SLACK) - 1.0);
@@ -745,7 +736,8 @@
         let spent = op.integration_timeout.saturating_sub(inv.deadline.saturating_sub(inv.arrived));
         let first = op.latency_objective.saturating_sub(spent).as_secs_f64();
         let room = LINE_PART * if inv.repeat { first.min(left) } else { left };
-        self.expect(0.5, inv.op) > left || (busy > 0 && wait > room)
+        // With nothing out nothing is learned any more: one goes to find out, however slow the last were.
+        busy > 0 && (self.expect(0.5, inv.op) > left || wait > room)
     }
 
     fn enqueue(&mut self, id: InvId) {
@@ -801,12 +793,10 @@
             if tgt.out.len() as f64 + 1.0 > places.max(1.0) {
                 continue;
             }
-            if warm < 1.0 {
-                // Pushed over, it stays down: this gateway's part is earned by time, from a start by chance,
-                // so that hundreds with less than one delivery each neither send one all at once nor none.
-                if self.credit(tgt, warm) < 0.0 || self.rng.random::<f64>() >= warm {
-                    continue;
-                }
+            // Pushed over, it stays down: this gateway's part is earned by time, from a start by chance,
+            // so that hundreds with less than one delivery each neither send one all at once nor none.
+            if warm < 1.0 && (self.credit(tgt, warm) < 0.0 || self.rng.random::<f64>() >= warm) {
+                continue;
             }
             let lat = tgt.lat.mean_from(usual);
             let silent =
@@ -837,6 +827,15 @@
         f64::from(c.out) >= part
     }
 
+    /// This gateway's part of all places of the fleet: where it is less than one at a backend, hundreds that
+    /// each held one would jam it, and too few answers come from each to learn by.
+    fn all_places(&self) -> f64 {
+        let up = |t: &&Tgt| t.entry.health == Health::Up && self.now >= t.blocked;
+        let part = self.places / f64::from(self.set.gateways.max(1));
+        let places = self.tgts.values().filter(up).map(|t| self.warmth(&t.entry) * t.places.min(part));
+        places.sum::<f64>().max(1.0)
+    }
+
     fn pump(&mut self) {
         let mut next = self.line.first().copied();
         let mut misses = 0;
@@ -845,6 +844,9 @@
             if self.capped(&self.invs[&id]) {
                 continue;
             }
+            if self.tgts.values().map(|t| t.out.len()).sum::<usize>() as f64 >= self.all_places() {
+                break;
+            }
             match self.choose(id) {
                 Some(tgt) => self.deliver(id, tgt),
                 None => misses += 1,
@@ -897,6 +899,11 @@
         let ready = |t: &&Tgt| t.entry.health == Health::Up && self.warmth(&t.entry) >= 1.0;
         let warm = self.tgts.get(&tgt).is_some_and(|t| ready(&t));
         let fleet = self.tgts.values().filter(ready).count().max(1) as f64;
+        let aim = self.set.operations[op].latency_objective.mul_f64(ENOUGH);
+        if outcome == Outcome::Ok {
+            let step = if latency > aim { (PLACES_FALL - 1.0) * self.places } else { 1.0 };
+            self.places = (self.places + step / self.all_places()).clamp(PLACES_LEAST, PLACES_MOST);
+        }
         if let Some(t) = self.tgts.get_mut(&tgt) {
             let full = t.out.len() as f64 + 1.0 > t.places;
             t.out.remove(&(self.now.saturating_sub(latency), id, no.0));
@@ -939,12 +946,7 @@
                 // A broken connection tells of the way there, not of the backend's load or life.
                 Outcome::Reset | Outcome::Failed | Outcome::Canceled | Outcome::Ignored => {}
             }
-            t.places = t.places.clamp(PLACES_LEAST / n, PLACES_MOST / n);
-            if t.places < 1.0 && t.out.is_empty() {
-                // Less than one place: it rests in between, so that all gateways together hold few.
-                let rest = t.lat.mean().unwrap_or(0.0) * (1.0 / t.places - 1.0);
-                t.blocked = t.blocked.max(self.now + Duration::from_secs_f64(rest));
-            }
+            t.places = t.places.max(PLACES_LEAST / n);
         }
         let Some(inv) = self.invs.get_mut(&id) else { return };
         if let Some(d) = inv.deliveries.get_mut(no.0 as usize).filter(|d| d.out) {
--- a/tests/rules/common.rs
+++ b/tests/rules/common.rs
@@ -24,7 +24,7 @@
             late_value: 0.0,
             streamed: false,
         }],
-        plans: vec![Plan { rate: 2.0, burst: 8.0, price: 1.0, ..Plan::default() }],
+        plans: vec![Plan { rate: 2.0, burst: 8.0, price: 1.0, over_cost: 1.0, ..Plan::default() }],
         limits: Limits {
             cancel: true,
             parallel: false,
--- a/tests/rules/decisions.rs
+++ b/tests/rules/decisions.rs
@@ -155,31 +155,119 @@
     assert!(delivered(&rules.on(ms(1301), arrival(9, ms(1301), "a", 1.0))).is_empty());
 }
 
-/// With ten gateways one place each is ten at a small backend (incident i935554): together they hold few.
+/// With ten gateways one place each is ten at a small backend (incidents i935554, if55f4d): a gateway holds no
+/// more than its parts of places together.
 #[test]
 fn many_gateways_hold_less_than_one_place_each() {
     let mut set = settings(Repeat::Idempotent);
     set.plans.clear();
     set.gateways = 20;
-    let mut rules = ready(set, 1);
-    let tgt = delivered(&rules.on(ms(1000), arrival(0, ms(1000), "a", 1.0)));
-    assert_eq!(tgt.len(), 1);
-    rules.on(ms(1100), outcome(0, 0, TgtId(0), Outcome::Ok, true));
-    let next = rules.on(ms(1101), arrival(1, ms(1101), "a", 1.0));
-    assert!(delivered(&next).is_empty(), "the backend's place here rests between deliveries");
+    let mut rules = ready(set, 10);
+    let sent: usize =
+        (0..10).map(|n| delivered(&rules.on(ms(1000), arrival(n, ms(1000), "a", 1.0))).len()).sum();
+    assert_eq!(sent, 6, "twelve places of each of ten backends, for twenty gateways");
 }
 
+/// Gateways that know nothing of the backends must not all begin with the same one.
 #[test]
-fn a_cap_with_fewer_places_than_gateways_goes_by_turns() {
-    let started = |me| {
+fn gateways_begin_with_different_backends() {
+    let first = |seed| {
         let mut set = settings(Repeat::Idempotent);
-        set.me = GatewayId(me);
-        set.counter = None;
-        set.plans[0] = Plan { max_out: 1.0, price: 1.0, ..Plan::default() };
-        let mut rules = ready(set, 4);
-        !delivered(&rules.on(ms(1010), arrival(1, ms(1010), "a", 1.0))).is_empty()
+        set.plans.clear();
+        set.gateways = 100;
+        let mut rules = damsonbeam::Rules::new(seed, set, ms(1000));
+        let mut up: Vec<Entry> = (0..20).map(|t| entry(t, Health::Up, Duration::ZERO)).collect();
+        up.iter_mut().for_each(|e| e.weight = f64::from(1 + e.tgt.0 % 2));
+        rules.on(ms(1000), list(ListForm::Restored, up));
+        delivered(&rules.on(ms(1000), arrival(1, ms(1000), "a", 1.0)))[0]
     };
-    assert_eq!((0..3).filter(|me| started(*me)).count(), 1, "one gateway's turn at a time");
+    let met: std::collections::BTreeSet<_> = (0..100).map(first).collect();
+    assert!(met.len() > 15, "{} of 20 met, the lighter half too", met.len());
+}
+
+/// Hundreds of gateways with less than one delivery each for a cold backend neither send one all at once nor
+/// none (incidents i6c3347, i651e94, ic8f5f9).
+#[test]
+fn a_cold_backend_gets_a_trickle_from_many_gateways() {
+    let sent_by = |seed| {
+        let mut set = settings(Repeat::Idempotent);
+        set.plans.clear();
+        set.gateways = 200;
+        let mut rules = damsonbeam::Rules::new(seed, set, ms(10_000));
+        rules.on(ms(10_000), list(ListForm::Restored, vec![entry(0, Health::Up, ms(9_500))]));
+        let times = (0..40).map(|n| ms(10_000 + 100 * n));
+        let sent = times.enumerate().map(|(n, now)| {
+            let actions = rules.on(now, arrival(n as u64, now, "a", 1.0));
+            for (inv, _) in delivered(&actions).iter().zip(n..) {
+                rules.on(now, outcome(n as u64, 0, *inv, Outcome::Ok, true));
+            }
+            delivered(&actions).len()
+        });
+        sent.collect::<Vec<_>>()
+    };
+    let days: Vec<_> = (0..200).map(sent_by).collect();
+    let total =
+        |from: usize, to: usize| days.iter().map(|d| d[from..to].iter().sum::<usize>()).sum::<usize>();
+    assert!(total(0, 10) <= 4, "{} in the first second", total(0, 10));
+    assert!(total(0, 40) >= 1, "it gets some work to warm by");
+}
+
+/// A backend that turns away one plan's work stays open to the others' (tiles-freising-later big-2).
+#[test]
+fn a_plan_turned_away_does_not_shut_the_backend_to_others() {
+    let mut set = settings(Repeat::Idempotent);
+    set.counter = None;
+    set.plans = vec![Plan { price: 1.0, ..Plan::default() }; 2];
+    let mut rules = ready(set, 1);
+    rules.on(ms(1000), arrival(1, ms(1000), "a", 1.0));
+    rules.on(ms(1010), outcome(1, 0, TgtId(0), Outcome::Full, false));
+    let Event::Invocation(other) = arrival(2, ms(1011), "b", 1.0) else { unreachable!() };
+    let other = Invocation { plan: PlanId(1), ..other };
+    rules.on(ms(1012), outcome(1, 1, TgtId(0), Outcome::Full, false));
+    assert_eq!(delivered(&rules.on(ms(1012), Event::Invocation(other))).len(), 1);
+}
+
+/// A timer that fires a rounding early must not leave the next ones unarmed (an invocation was lost so).
+#[test]
+fn a_timer_that_comes_early_is_armed_again() {
+    let mut rules = ready(settings(Repeat::Idempotent), 0);
+    let armed = |actions: &[Action]| {
+        actions.iter().find_map(|a| match a {
+            Action::Timer { after, .. } => Some(*after),
+            _ => None,
+        })
+    };
+    let after = armed(&rules.on(ms(1000), arrival(1, ms(1000), "a", 1.0))).expect("its end is due");
+    let early = ms(1000) + after - Duration::from_nanos(400);
+    assert!(armed(&rules.on(early, Event::Timer { token: "due".into() })).is_some());
+}
+
+/// Answers slower than the objective must not end in a standstill in which nothing is learned (incident if55f4d).
+#[test]
+fn with_nothing_out_one_goes_however_slow_the_last_were() {
+    let mut set = settings(Repeat::Idempotent);
+    set.plans.clear();
+    let mut rules = ready(set, 1);
+    rules.on(ms(1000), arrival(1, ms(1000), "a", 1.0));
+    let Event::Outcome { inv, no, tgt, outcome, report, .. } = outcome(1, 0, TgtId(0), Outcome::Ok, true)
+    else {
+        unreachable!()
+    };
+    let (latency, used, true_units) = (ms(2500), None, None);
+    let slow = Event::Outcome { inv, no, tgt, outcome, latency, closed: true, used, true_units, report };
+    rules.on(ms(3500), slow);
+    assert_eq!(delivered(&rules.on(ms(3600), arrival(2, ms(3600), "a", 1.0))).len(), 1);
+}
+
+#[test]
+fn a_cap_on_deliveries_out_holds_the_next_in_line() {
+    let mut set = settings(Repeat::Idempotent);
+    set.counter = None;
+    set.plans[0] = Plan { max_out: 2.0, price: 1.0, ..Plan::default() };
+    let mut rules = ready(set, 4);
+    assert_eq!(delivered(&rules.on(ms(1010), arrival(1, ms(1010), "a", 1.0))).len(), 1);
+    let second = rules.on(ms(1011), arrival(2, ms(1011), "a", 1.0));
+    assert!(delivered(&second).is_empty() && !throttled(&second), "two over three gateways: one each");
 }
 
 #[test]
@@ -259,17 +347,17 @@
         let mut set = settings(Repeat::Idempotent);
         set.counter = None;
         let mut rules = ready(set, 2);
-        let tgt = delivered(&rules.on(ms(1000), arrival(1, ms(1000), "a", 1.0)))[0];
+        let tgt = delivered(&rules.on(ms(21_000), arrival(1, ms(21_000), "a", 1.0)))[0];
         let Event::Outcome { inv, no, outcome, latency, report, .. } = outcome(1, 0, tgt, Outcome::Ok, true)
         else {
             unreachable!()
         };
         let true_units = None;
         rules.on(
-            ms(1100),
+            ms(21_100),
             Event::Outcome { inv, no, tgt, outcome, latency, closed: true, used, true_units, report },
         );
-        throttled(&rules.on(ms(2000), arrival(2, ms(2000), "a", 1.0)))
+        throttled(&rules.on(ms(22_000), arrival(2, ms(22_000), "a", 1.0)))
     };
     assert!(!second_is_refused(None));
     assert!(second_is_refused(Some(5.0)));
