--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,8 +35,6 @@
 const FINAL_AFTER: u32 = 3;
 /// Part of the burst up to which guesses stand in for unread slots: half leaves room to be wrong twofold.
 const UNREAD_UP_TO: f64 = 0.5;
-/// A window told full is not asked about again for this long: add and undo would be calls for nothing.
-const FULL_FOR: Duration = Duration::from_millis(250);
 /// What was seen of a customer's pace fades over this: spikes pass in seconds, heavy customers stay heavy.
 const MEMORY: Duration = Duration::from_secs(20);
 /// Slots after which nothing of it is left.
@@ -425,11 +423,7 @@
             if self.invs[&id].repeat { 0.0 } else { units };
         // Known to be full, or no room in the line: refused early, without calls that are then undone.
         let burst = self.set.plans[plan.0].burst;
-        let told =
-            self.customers[&customer].slots.get(&self.invs[&id].slot).map_or(Duration::ZERO, |s| s.told);
-        let sure = self.now < told + FULL_FOR || self.ask < ASK_READS;
-        let full = sure && self.sum(&self.customers[&customer], 0.0) + units > burst + EPS;
-        if full && self.unread(&customer, 0).is_empty() || self.pressed(id) {
+        if self.sum(&self.customers[&customer], 0.0) + units > burst + EPS || self.pressed(id) {
             return self.throttle(id);
         }
         let c = &self.customers[&customer];
