A second copy goes when four tenths of the time left are gone

Twice the slow answers' time was beyond the objective wherever some backends are slow: no copies were sent.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -86,6 +86,8 @@
 /// Second copies as a part of first deliveries: enough for one bad backend in ten, little fuel in overload.
 const COPIES: f64 = 0.1;
 const COPIES_SAVED: f64 = 10.0;
+/// A second copy goes at the latest when this part of the time left is gone: slow backends make slow answers usual.
+const COPY_BY: f64 = 0.4;
 /// A delivery is given this many times the slow answers' time before another is made.
 const PATIENCE: f64 = 2.0;
 /// Answers that the fleet's usual time weighs beside a backend's own.
@@ -880,7 +882,8 @@
         self.customers.get_mut(&inv.customer).into_iter().for_each(|c| c.out += 1);
         self.copies = (self.copies + if first { COPIES } else { 0.0 }).min(COPIES_SAVED);
         if again && self.set.limits.parallel && !self.set.operations[op.0].streamed {
-            self.due.insert((self.now + Duration::from_secs_f64(PATIENCE * slow), Due::Copy(id)));
+            let wait = Duration::from_secs_f64((PATIENCE * slow).min(COPY_BY * left));
+            self.due.insert((self.now + wait, Due::Copy(id)));
         }
         self.out.push(Action::Deliver { inv: id, tgt, timeout });
     }
