One figure of places for the fleet; a backend's own is gone

At size too few answers come from each backend, in the small the choice by expected time does as well.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,11 +22,10 @@
 
 use crate::interface::*;
 
-/// Gateways of a customer up to which its window is cut in two slots, else one: finer follows the window closer,
-/// but each gateway reads each slot, and where few invocations come in at each, these reads would outnumber the
-/// adds, and a call has to tell as much of the window as it can.
+/// Gateways of a customer up to which its window is two slots, else one: finer follows it closer, but each gateway
+/// reads each slot; where few invocations come in at each, a call has to tell as much of the window as it can.
 const CUT_SPREAD: u32 = 4;
-/// Slots of 60 s at most are kept by the counter; names outlive the window by this many slots.
+/// The counter keeps a name for 60 s at most; names outlive the window by this many slots.
 const KEEP: u64 = 3;
 const KEEP_MOST: Duration = Duration::from_secs(60);
 /// Longest slot in seconds: two windows of them are still kept.
@@ -39,16 +38,13 @@
 const MEMORY: Duration = Duration::from_secs(20);
 /// Slots after which nothing of it is left.
 const GONE: u64 = 60;
-/// Part of the rate that a customer not known yet is taken to use: most use less than half.
+/// Part of the rate that a customer not known yet is taken to use, and that guess's weight in mean invocations.
 const USUAL_FIRST: f64 = 0.5;
-/// The others hold to the quota too: no pace above this part of the rate is guessed of what they admit.
+const USUAL_UNITS: f64 = 1.5;
+/// The others hold to the quota too: what they admit is guessed up to this part of the rate (bursts come on top).
 const PACE_MOST: f64 = 1.5;
 /// Part of guessed units by which a window may be over, times what is earned inside over the cost beyond, less 1.
 const GUESS_SLACK: f64 = 0.3;
-/// What the usual weighs beside what was seen, in largest invocations.
-const USUAL_UNITS: f64 = 1.5;
-/// Weight (in bursts) of an even spread against what was seen of a customer's share: one window's worth.
-const EVEN_WEIGHT: f64 = 1.0;
 /// Part of invocations that still ask a dead counter: a few a second find its return, none wait long.
 const ASK_LEAST: f64 = 0.05;
 /// Asking falls by this at a failed call: out in twenty, and few are lost where a counter is too small for good.
@@ -61,14 +57,11 @@
 const ASK_PROMPT: f64 = 0.3;
 /// Reads are left out below this chance of asking: a crowded counter's calls are for adds.
 const ASK_READS: f64 = 0.95;
-/// Places of a backend at all gateways together: at first, at least (a few cores' worth), and the
-/// most that a gateway reckons with for the whole fleet.
+/// Places of a backend at all gateways together: at first, least (a few cores' worth), most reckoned with.
 const PLACES_START: f64 = 12.0;
 const PLACES_LEAST: f64 = 5.0;
 const PLACES_MOST: f64 = 60.0;
-/// Places that all gateways together add in about an answer's time, while a backend is at ease.
-const PLACES_GROW: f64 = 3.0;
-/// Places fall by this at a refusal or time-out.
+/// Places fall by this in about an answer's time while answers are slow, and grow by one at ease.
 const PLACES_FALL: f64 = 0.8;
 /// Places grow while answers take less than this part of the latency objective, and fall beyond: quick enough
 /// to leave room for a line and another go. A time "at ease" can't be learned on days that begin under load.
@@ -80,17 +73,15 @@
 /// A backend that refuses connections is tried again after this, doubled at each failure up to the most.
 const BACK_FIRST: Duration = Duration::from_millis(100);
 const BACK_MOST: Duration = Duration::from_secs(2);
-/// Part of an invocation's time that the line before it may take: a client's try after a throttling still
-/// has its first one's objective, so a long line makes the answers late that it does not turn away.
+/// Part of an invocation's time that the line before it may take: more, and what it doesn't turn away is late.
 const LINE_PART: f64 = 0.25;
-/// Second copies as a part of first deliveries: enough for one bad backend in ten, little fuel in overload.
+/// Second copies as a part of first deliveries, saved up to ten: enough for one bad backend in ten.
 const COPIES: f64 = 0.1;
-const COPIES_SAVED: f64 = 10.0;
-/// A second copy goes at the latest when this part of the time left is gone: slow backends make slow answers usual.
+/// A second copy goes when this part of the time left is gone: slow backends make slow answers usual.
 const COPY_BY: f64 = 0.4;
-/// A delivery is given this many times the slow answers' time before another is made.
+/// Where no copies may go, a delivery is given this many times the slow answers' time before another.
 const PATIENCE: f64 = 2.0;
-/// Answers that the fleet's usual time weighs beside a backend's own.
+/// Answers that the usual time weighs beside those measured.
 const USUAL_WEIGHT: f64 = 3.0;
 /// Part of the budget for a cold backend that this gateway's part may use: work sizes vary by chance.
 const COLD_PART: f64 = 0.5;
@@ -100,8 +91,6 @@
 const FLOW_SPAN: Duration = Duration::from_secs(4);
 /// While work waits in line, it is looked through at least this often: blocked backends come free by time.
 const LOOK: Duration = Duration::from_millis(20);
-/// Longest timer asked for; a later one is asked for again then.
-const TIMER_MOST: Duration = Duration::from_secs(3600);
 /// A subscription that failed is asked for again after this: discovery is one service for all.
 const WATCH_AGAIN: Duration = Duration::from_millis(500);
 /// Samples at which a histogram is halved: a backend's follows its last dozen answers, the fleet's hundreds.
@@ -136,14 +125,10 @@
         Some(Self::middle(found))
     }
     /// The mean, drawn towards `usual`: one answer tells little of who gave it.
-    fn mean_from(&self, usual: f64) -> f64 {
-        let n: f64 = self.0.iter().sum();
-        (self.mean().unwrap_or(usual) * n + usual * USUAL_WEIGHT) / (n + USUAL_WEIGHT)
-    }
-    fn mean(&self) -> Option<f64> {
+    fn mean(&self, usual: f64) -> f64 {
         let n: f64 = self.0.iter().sum();
         let sum: f64 = self.0.iter().enumerate().map(|(i, b)| b * Self::middle(i)).sum();
-        (n > 0.0).then(|| sum / n)
+        (sum + usual * USUAL_WEIGHT) / (n + USUAL_WEIGHT)
     }
 }
 
@@ -200,14 +185,6 @@
     used_at: Duration,
 }
 
-#[derive(Clone, Copy, Default, PartialEq)]
-enum Stage {
-    #[default]
-    Asked,
-    InLine,
-    Sent,
-}
-
 struct Delivery {
     tgt: TgtId,
     zone: u32,
@@ -222,7 +199,6 @@
 struct Inv {
     told: Invocation,
     arrived: Duration,
-    stage: Stage,
     slot: u64,
     /// Its units are in the slot's `asking`, then in `own` once admitted.
     added: bool,
@@ -242,7 +218,6 @@
 struct Tgt {
     entry: Entry,
     out: BTreeSet<(Duration, InvId, u32)>,
-    places: f64,
     lat: Hist,
     blocked: Duration,
     fails: u32,
@@ -268,7 +243,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Final(InvId),
-    Objective(InvId),
+    Objective(InvId, Duration),
     Copy(InvId),
     Look,
     Watch,
@@ -355,7 +330,7 @@
         if let Some(&(at, _)) = self.due.first()
             && self.armed.is_none_or(|a| at < a || a <= now)
         {
-            let after = at.saturating_sub(now).clamp(Duration::from_nanos(1), TIMER_MOST);
+            let after = at.saturating_sub(now).clamp(Duration::from_nanos(1), KEEP_MOST);
             self.armed = Some(now + after);
             self.out.push(Action::Timer { after, token: "due".into() });
         }
@@ -383,8 +358,7 @@
         let (id, spread) = (inv.inv, inv.told.spread);
         let n = self.set.gateways.max(1);
         let spread = if spread == 0 { n } else { spread.min(n) };
-        let turn = (self.set.me.0 + n - inv.first_gateway.0 % n) % n;
-        let inside = turn < spread;
+        let inside = (self.set.me.0 + n - inv.first_gateway.0 % n) % n < spread;
         let margin = self.set.tick.max(Duration::from_millis(1)); // A batch later is too late.
         self.due.insert((inv.deadline.saturating_sub(margin), Due::Final(id)));
         let metered = self.metered(inv.plan);
@@ -580,7 +554,7 @@
             self.verdict(id, ok);
         } else if call.read && !c.slots.values().any(|s| s.reading) {
             for id in std::mem::take(&mut c.waiting) {
-                if self.invs.get(&id).is_some_and(|i| i.stage == Stage::Asked) {
+                if self.invs.get(&id).is_some_and(|i| !i.admitted) {
                     self.verdict(id, true);
                 }
             }
@@ -600,14 +574,14 @@
             if reads.is_empty() && sum > burst {
                 reads = self.unread(&customer, 0);
             }
-            for k in &reads {
-                let c = self.customers.get_mut(&customer).expect("has an invocation");
-                c.waiting.insert(id);
-                if !std::mem::replace(&mut c.slots.entry(*k).or_default().reading, true) {
-                    self.call(customer.clone(), *k, 0.0, None, true);
-                }
-            }
             if !reads.is_empty() {
+                for k in reads {
+                    let c = self.customers.get_mut(&customer).expect("has an invocation");
+                    c.waiting.insert(id);
+                    if !std::mem::replace(&mut c.slots.entry(k).or_default().reading, true) {
+                        self.call(customer.clone(), k, 0.0, None, true);
+                    }
+                }
                 return;
             }
         }
@@ -725,15 +699,15 @@
     fn pressed(&self, id: InvId) -> bool {
         let inv = &self.invs[&id];
         let left = self.objective(inv).saturating_sub(self.now).as_secs_f64();
-        let busy: usize = self.tgts.values().map(|t| t.out.len()).sum();
-        let wait = self.line.len() as f64 * self.lat.mean().unwrap_or(0.0) / busy.max(1) as f64;
+        let busy = self.busy();
+        let wait = self.line.len() as f64 * self.lat.mean(0.0) / busy.max(1.0);
         // A client's next try runs on its first one's objective: while work waits, it goes last.
         let op = &self.set.operations[inv.op.0];
         let spent = op.integration_timeout.saturating_sub(inv.deadline.saturating_sub(inv.arrived));
         let first = op.latency_objective.saturating_sub(spent).as_secs_f64();
         let room = LINE_PART * if inv.repeat { first.min(left) } else { left };
         // With nothing out nothing is learned any more: one goes to find out, however slow the last were.
-        busy > 0 && (self.expect(0.5, inv.op) > left || wait > room)
+        busy > 0.0 && (self.expect(0.5, inv.op) > left || wait > room)
     }
 
     fn enqueue(&mut self, id: InvId) {
@@ -746,10 +720,9 @@
     /// Stands in line until it could not be answered by `until` any more.
     fn stand(&mut self, id: InvId, until: Duration) {
         let usual = Duration::from_secs_f64(self.expect(0.5, self.invs[&id].op));
-        let inv = self.invs.get_mut(&id).expect("held");
-        inv.stage = Stage::InLine;
-        self.line.insert((inv.arrived, id));
-        self.due.insert((until.saturating_sub(usual).max(self.now), Due::Objective(id)));
+        let at = self.invs[&id].arrived;
+        self.line.insert((at, id));
+        self.due.insert((until.saturating_sub(usual).max(self.now), Due::Objective(id, at)));
     }
 
     /// Present part of a backend's full capacity, at least.
@@ -777,16 +750,15 @@
     /// The best backend with a free place that this invocation may go to.
     fn choose(&mut self, id: InvId) -> Option<TgtId> {
         let inv = &self.invs[&id];
-        let usual = self.lat.mean().unwrap_or(self.expect(0.5, inv.op));
-        let start = PLACES_START / f64::from(self.set.gateways.max(1));
+        let usual = self.lat.mean(self.expect(0.5, inv.op));
+        let part = self.places / f64::from(self.set.gateways.max(1));
         let mut best: Option<(f64, TgtId)> = None;
         for (&t, tgt) in &self.tgts {
             if self.now < tgt.blocked || !self.may_deliver(inv, tgt) {
                 continue;
             }
             let warm = self.warmth(&tgt.entry);
-            let places = if warm < 1.0 { tgt.places.min(start) * warm } else { tgt.places };
-            if tgt.out.len() as f64 + 1.0 > places.max(1.0) {
+            if tgt.out.len() as f64 + 1.0 > (part * warm).max(1.0) {
                 continue;
             }
             // Pushed over, it stays down: this gateway's part is earned by time, from a start by chance,
@@ -794,7 +766,7 @@
             if warm < 1.0 && (self.credit(tgt, warm) < 0.0 || self.rng.random::<f64>() >= warm) {
                 continue;
             }
-            let lat = tgt.lat.mean_from(usual);
+            let lat = tgt.lat.mean(usual);
             let silent =
                 tgt.out.first().map_or(0.0, |o| self.now.saturating_sub(o.0.max(tgt.heard)).as_secs_f64());
             if silent > SILENT * lat.max(usual) {
@@ -806,7 +778,7 @@
                 * if tried { 100.0 } else { 1.0 }
                 // The less of a backend is this gateway's, the less its own deliveries tell of the load there:
                 // then the choice is by lot, or hundreds that know as little would all choose the same.
-                * (-self.rng.random::<f64>().max(EPS).ln()).powf(1.0 / (1.0 + tgt.places));
+                * (-self.rng.random::<f64>().max(EPS).ln()).powf(1.0 / (1.0 + part));
             if best.is_none_or(|(b, _)| cost < b) {
                 best = Some((cost, t));
             }
@@ -823,12 +795,17 @@
         f64::from(c.out) >= part
     }
 
+    /// Deliveries of this gateway that are out.
+    fn busy(&self) -> f64 {
+        self.tgts.values().map(|t| t.out.len()).sum::<usize>() as f64
+    }
+
     /// This gateway's part of all places of the fleet: where it is less than one at a backend, hundreds that
     /// each held one would jam it, and too few answers come from each to learn by.
     fn all_places(&self) -> f64 {
         let up = |t: &&Tgt| t.entry.health == Health::Up && self.now >= t.blocked;
         let part = self.places / f64::from(self.set.gateways.max(1));
-        let places = self.tgts.values().filter(up).map(|t| self.warmth(&t.entry) * t.places.min(part));
+        let places = self.tgts.values().filter(up).map(|t| self.warmth(&t.entry) * part);
         places.sum::<f64>().max(1.0)
     }
 
@@ -840,7 +817,7 @@
             if self.capped(&self.invs[&id]) {
                 continue;
             }
-            if self.tgts.values().map(|t| t.out.len()).sum::<usize>() as f64 >= self.all_places() {
+            if self.busy() >= self.all_places() {
                 break;
             }
             match self.choose(id) {
@@ -877,21 +854,17 @@
         t.out.insert((self.now, id, inv.deliveries.len() as u32));
         let Entry { zone, cell, .. } = t.entry;
         inv.deliveries.push(Delivery { tgt, zone, cell, sent: self.now, out: true, idle: false });
-        inv.stage = Stage::Sent;
         self.line.remove(&(inv.arrived, id));
         self.customers.get_mut(&inv.customer).into_iter().for_each(|c| c.out += 1);
-        self.copies = (self.copies + if first { COPIES } else { 0.0 }).min(COPIES_SAVED);
+        self.copies = (self.copies + if first { COPIES } else { 0.0 }).min(1.0 / COPIES);
         if again && self.set.limits.parallel && !self.set.operations[op.0].streamed {
-            let wait = Duration::from_secs_f64((PATIENCE * slow).min(COPY_BY * left));
-            self.due.insert((self.now + wait, Due::Copy(id)));
+            self.due.insert((self.now + Duration::from_secs_f64(COPY_BY * left), Due::Copy(id)));
         }
         self.out.push(Action::Deliver { inv: id, tgt, timeout });
     }
 
     fn ended(&mut self, id: InvId, no: DeliveryNo, tgt: TgtId, outcome: Outcome, latency: Duration) {
-        let n = f64::from(self.set.gateways.max(1));
         let op = self.invs.get(&id).map_or(0, |i| i.op.0);
-        let enough = ENOUGH * self.set.operations[op].latency_objective.as_secs_f64();
         let (units, plan) = self.invs.get(&id).map_or((0.0, PlanId(0)), |i| (i.units, i.plan));
         let ready = |t: &&Tgt| t.entry.health == Health::Up && self.warmth(&t.entry) >= 1.0;
         let warm = self.tgts.get(&tgt).is_some_and(|t| ready(&t));
@@ -902,8 +875,6 @@
             self.places = (self.places + step / self.all_places()).clamp(PLACES_LEAST, PLACES_MOST);
         }
         if let Some(t) = self.tgts.get_mut(&tgt) {
-            let full = t.out.len() as f64 + 1.0 > t.places;
-            t.out.remove(&(self.now.saturating_sub(latency), id, no.0));
             if let Some(d) = self.invs.get(&id).and_then(|i| i.deliveries.get(no.0 as usize)) {
                 t.out.remove(&(d.sent, id, no.0));
             }
@@ -917,17 +888,9 @@
                     if warm {
                         self.flow.1 += units / fleet;
                     }
-                    // Holding more than it works on only makes a backend less efficient.
-                    let ease = (enough / t.lat.mean().unwrap_or(enough)).clamp(0.75, 1.0);
-                    if ease < 1.0 {
-                        t.places *= 1.0 - (1.0 - ease) / t.places.max(1.0);
-                    } else if full {
-                        t.places += PLACES_GROW / n / t.places.max(1.0);
-                    }
                 }
                 Outcome::TimedOut => {
                     t.lat.note(latency, TGT_SAMPLES);
-                    t.places *= PLACES_FALL;
                 }
                 // One plan's work may be turned away where others' is not: it then goes elsewhere, and only it.
                 Outcome::Full => {
@@ -935,7 +898,6 @@
                     *full += FULL_STEP * (1.0 - *full);
                 }
                 Outcome::ConnectFailed => {
-                    t.places *= PLACES_FALL;
                     let back = BACK_FIRST * 2u32.pow(t.fails.min(6));
                     t.fails += 1;
                     t.blocked = t.blocked.max(self.now + back.min(BACK_MOST));
@@ -943,7 +905,6 @@
                 // A broken connection tells of the way there, not of the backend's load or life.
                 Outcome::Reset | Outcome::Failed | Outcome::Canceled | Outcome::Ignored => {}
             }
-            t.places = t.places.max(PLACES_LEAST / n);
         }
         let Some(inv) = self.invs.get_mut(&id) else { return };
         if let Some(d) = inv.deliveries.get_mut(no.0 as usize).filter(|d| d.out) {
@@ -970,7 +931,7 @@
     /// No delivery is out: back into the line if a further one can still be of use, else a final answer.
     fn again_or_end(&mut self, id: InvId) {
         let Some(inv) = self.invs.get(&id) else { return };
-        if inv.stage != Stage::Sent || inv.deliveries.iter().any(|d| d.out) {
+        if inv.started || inv.deliveries.iter().any(|d| d.out) || self.line.contains(&(inv.arrived, id)) {
             return;
         }
         let late = self.set.operations[inv.op.0].late_value > 0.0;
@@ -987,19 +948,18 @@
     /// A stream that began belongs to the client: no time runs, nothing more is sent.
     fn started(&mut self, id: InvId) {
         let Some(inv) = self.invs.get_mut(&id) else { return };
-        (inv.started, inv.stage) = (true, Stage::Sent);
+        inv.started = true;
         self.line.remove(&(inv.arrived, id));
     }
 
     fn run_due(&mut self) {
-        let in_line = |i: &Inv| i.stage == Stage::InLine;
         while let Some(&(at, due)) = self.due.first()
             && at <= self.now
         {
             self.due.pop_first();
             match due {
                 Due::Final(id) if self.invs.get(&id).is_some_and(|i| !i.started) => self.throttle(id),
-                Due::Objective(id) if self.invs.get(&id).is_some_and(in_line) => self.throttle(id),
+                Due::Objective(id, at) if self.line.contains(&(at, id)) => self.throttle(id),
                 Due::Copy(id) => self.copy(id),
                 Due::Look => self.looks = false,
                 Due::Watch => self.out.push(Action::Watch { on: true }),
@@ -1013,7 +973,7 @@
         let Some(inv) = self.invs.get(&id) else { return };
         let left = self.objective(inv).saturating_sub(self.now).as_secs_f64();
         let out_now = inv.deliveries.iter().filter(|d| d.out).count();
-        let useful = inv.stage == Stage::Sent && out_now == 1 && left > self.expect(0.5, inv.op);
+        let useful = out_now == 1 && left > self.expect(0.5, inv.op);
         if !useful || !self.line.is_empty() || self.copies < 1.0 {
             return;
         }
@@ -1034,18 +994,18 @@
             // Absent from a whole list is gone.
             self.tgts.values_mut().for_each(|t| t.entry.health = Health::Gone);
         }
-        let (heard, places) = (self.now, PLACES_START / f64::from(self.set.gateways.max(1)));
+        let heard = self.now;
         for e in entries {
             let t = self.tgts.entry(e.tgt).or_default();
             if e.health != Health::Up {
                 t.entry.health = e.health; // It may come back as it was, with what it was sent while cold.
                 continue;
             }
-            if t.places == 0.0 || t.entry.since != e.since {
+            if t.heard.is_zero() || t.entry.since != e.since {
                 // A new process: nothing measured of the last one holds.
                 let out = std::mem::take(&mut t.out);
                 let credit = -self.set.most_units.max(1.0) * self.rng.random::<f64>();
-                *t = Tgt { out, places, heard, credit, credit_at: heard, ..Tgt::default() };
+                *t = Tgt { out, heard, credit, credit_at: heard, ..Tgt::default() };
             }
             t.entry = e.clone();
         }
@@ -1063,10 +1023,8 @@
             return;
         }
         // With no warm backend left, what the last ones took is still the best guide.
-        if self.flow.1 > 0.0 {
-            let spans = (self.now - self.flow.0).as_secs_f64() / FLOW_SPAN.as_secs_f64();
-            self.flow = (self.now, 0.0, self.flow.1 / spans);
-        }
+        let spans = (self.now - self.flow.0).as_secs_f64() / FLOW_SPAN.as_secs_f64();
+        self.flow = (self.now, 0.0, if self.flow.1 > 0.0 { self.flow.1 / spans } else { self.flow.2 });
         let plans = &self.set.plans;
         self.customers.retain(|_, c| {
             let p = &plans[c.plan.0];
@@ -1080,7 +1038,7 @@
 impl Customer {
     /// Part of the customer's use that comes in here, drawn towards an even spread.
     fn share(&self, burst: f64) -> f64 {
-        let even = EVEN_WEIGHT * burst.max(1.0);
+        let even = burst.max(1.0);
         ((self.own_seen + even / self.spread) / (self.all_seen + even)).clamp(0.2 / self.spread, 1.0)
     }
 }
