--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1038,7 +1038,8 @@
 impl Customer {
     /// Part of the customer's use that comes in here, drawn towards an even spread.
     fn share(&self, burst: f64) -> f64 {
-        let even = burst.max(1.0);
+        // Slots are told where something came in here: the more gateways, the more that shows too large a share.
+        let even = burst.max(1.0) * self.spread / f64::from(CUT_SPREAD);
         ((self.own_seen + even / self.spread) / (self.all_seen + even)).clamp(0.2 / self.spread, 1.0)
     }
 }
