--- a/src/rules.rs
+++ b/src/rules.rs
@@ -66,8 +66,6 @@
 /// Places grow while answers take less than this part of the latency objective, and fall beyond: quick enough
 /// to leave room for a line and another go. A time "at ease" can't be learned on days that begin under load.
 const ENOUGH: f64 = 0.1;
-/// A silent backend is left alone after this many usual answer times, but for its own line moving.
-const SILENT: f64 = 6.0;
 /// A refusal moves a plan's part turned away this far to all, an answer this far back: a cap lets some through.
 const FULL_STEP: f64 = 0.5;
 /// A backend that refuses connections is tried again after this, doubled at each failure up to the most.
@@ -147,7 +145,6 @@
     told: Duration,
     last: bool,
     reading: bool,
-    failed: bool,
 }
 
 impl Slot {
@@ -217,13 +214,12 @@
 #[derive(Default)]
 struct Tgt {
     entry: Entry,
-    out: BTreeSet<(Duration, InvId, u32)>,
+    out: u32,
     lat: Hist,
     blocked: Duration,
     fails: u32,
     /// Part of each plan's deliveries that it turned away of late.
     full: BTreeMap<PlanId, f64>,
-    heard: Duration,
     /// Units that this gateway may send while it is cold, earned up to `credit_at`; a delivery needs one of 0.
     credit: f64,
     credit_at: Duration,
@@ -511,12 +507,10 @@
     }
 
     /// Finished slots, from `from` on, whose final total is there to be read.
-    fn unread(&self, customer: &CustomerId, from: u64) -> Vec<u64> {
-        let (c, none) = (&self.customers[customer], Slot::default());
-        let open = |k: &u64| {
-            let s = c.slots.get(k).unwrap_or(&none);
-            !s.last && !s.failed && (self.settled(c, *k, self.now) || s.told.is_zero())
-        };
+    fn unread(&self, c: &Customer, from: u64) -> Vec<u64> {
+        let none = Slot::default();
+        let slot = |k: &u64| c.slots.get(k).unwrap_or(&none);
+        let open = |k: &u64| !slot(k).last && (self.settled(c, *k, self.now) || slot(k).told.is_zero());
         (c.oldest.max(from)..self.slot_of(c)).filter(open).collect()
     }
 
@@ -543,7 +537,6 @@
         let c = self.customers.get_mut(&call.customer).expect("seen above");
         if let Some(s) = c.slots.get_mut(&call.slot) {
             s.reading &= !call.read;
-            s.failed |= call.read && !ok;
             s.put -= lost;
             if ok {
                 s.others = if lost > 0.0 { s.others } else { total - call.upto };
@@ -570,10 +563,7 @@
         let (burst, known) = (self.set.plans[plan.0].burst, self.sum(c, 0.0) + units);
         let sum = self.sum(c, self.pace(c)) + units;
         if answered && self.ask >= ASK_READS && sum > UNREAD_UP_TO * burst {
-            let mut reads = self.unread(&customer, self.slot_of(c).saturating_sub(c.cut));
-            if reads.is_empty() && sum > burst {
-                reads = self.unread(&customer, 0);
-            }
+            let reads = self.unread(c, if sum > burst { 0 } else { self.slot_of(c).saturating_sub(c.cut) });
             if !reads.is_empty() {
                 for k in reads {
                     let c = self.customers.get_mut(&customer).expect("has an invocation");
@@ -640,7 +630,7 @@
                 self.out.push(Action::Cancel { inv: id, no: DeliveryNo(no as u32) });
             }
             if let Some(t) = self.tgts.get_mut(&d.tgt) {
-                t.out.remove(&(d.sent, id, no as u32));
+                t.out -= 1;
             }
         }
         if let Some(c) = self.customers.get_mut(&inv.customer) {
@@ -758,7 +748,7 @@
                 continue;
             }
             let warm = self.warmth(&tgt.entry);
-            if tgt.out.len() as f64 + 1.0 > (part * warm).max(1.0) {
+            if f64::from(tgt.out) + 1.0 > (part * warm).max(1.0) {
                 continue;
             }
             // Pushed over, it stays down: this gateway's part is earned by time, from a start by chance,
@@ -767,14 +757,9 @@
                 continue;
             }
             let lat = tgt.lat.mean(usual);
-            let silent =
-                tgt.out.first().map_or(0.0, |o| self.now.saturating_sub(o.0.max(tgt.heard)).as_secs_f64());
-            if silent > SILENT * lat.max(usual) {
-                continue; // Stalled, cut off or gone unseen: what it holds shows first whether it lives.
-            }
             let tried = inv.deliveries.iter().any(|d| d.tgt == t);
             let taken = 1.0 - tgt.full.get(&inv.plan).copied().unwrap_or(0.0);
-            let cost = lat.max(silent) / taken.powi(2) * (tgt.out.len() as f64 + 1.0) / tgt.entry.weight.max(0.1)
+            let cost = lat / taken.powi(2) * (f64::from(tgt.out) + 1.0) / tgt.entry.weight.max(0.1)
                 * if tried { 100.0 } else { 1.0 }
                 // The less of a backend is this gateway's, the less its own deliveries tell of the load there:
                 // then the choice is by lot, or hundreds that know as little would all choose the same.
@@ -797,7 +782,7 @@
 
     /// Deliveries of this gateway that are out.
     fn busy(&self) -> f64 {
-        self.tgts.values().map(|t| t.out.len()).sum::<usize>() as f64
+        f64::from(self.tgts.values().map(|t| t.out).sum::<u32>())
     }
 
     /// This gateway's part of all places of the fleet: where it is less than one at a backend, hundreds that
@@ -851,7 +836,7 @@
         let inv = self.invs.get_mut(&id).expect("held");
         let t = self.tgts.get_mut(&tgt).expect("chosen from it");
         (t.credit, t.credit_at) = (credit - units, self.now);
-        t.out.insert((self.now, id, inv.deliveries.len() as u32));
+        t.out += 1;
         let Entry { zone, cell, .. } = t.entry;
         inv.deliveries.push(Delivery { tgt, zone, cell, sent: self.now, out: true, idle: false });
         self.line.remove(&(inv.arrived, id));
@@ -864,8 +849,11 @@
     }
 
     fn ended(&mut self, id: InvId, no: DeliveryNo, tgt: TgtId, outcome: Outcome, latency: Duration) {
-        let op = self.invs.get(&id).map_or(0, |i| i.op.0);
-        let (units, plan) = self.invs.get(&id).map_or((0.0, PlanId(0)), |i| (i.units, i.plan));
+        let Some(inv) = self.invs.get_mut(&id) else { return };
+        let (op, units, plan) = (inv.op.0, inv.units, inv.plan);
+        let Some(d) = inv.deliveries.get_mut(no.0 as usize).filter(|d| d.out) else { return };
+        (d.out, d.idle) = (false, outcome.never_ran());
+        self.customers.get_mut(&inv.customer).into_iter().for_each(|c| c.out -= 1);
         let ready = |t: &&Tgt| t.entry.health == Health::Up && self.warmth(&t.entry) >= 1.0;
         let warm = self.tgts.get(&tgt).is_some_and(|t| ready(&t));
         let fleet = self.tgts.values().filter(ready).count().max(1) as f64;
@@ -875,10 +863,7 @@
             self.places = (self.places + step / self.all_places()).clamp(PLACES_LEAST, PLACES_MOST);
         }
         if let Some(t) = self.tgts.get_mut(&tgt) {
-            if let Some(d) = self.invs.get(&id).and_then(|i| i.deliveries.get(no.0 as usize)) {
-                t.out.remove(&(d.sent, id, no.0));
-            }
-            t.heard = if outcome == Outcome::TimedOut { t.heard } else { self.now };
+            t.out -= 1;
             match outcome {
                 Outcome::Ok => {
                     self.lat.note(latency, FLEET_SAMPLES);
@@ -889,9 +874,7 @@
                         self.flow.1 += units / fleet;
                     }
                 }
-                Outcome::TimedOut => {
-                    t.lat.note(latency, TGT_SAMPLES);
-                }
+                Outcome::TimedOut => t.lat.note(latency, TGT_SAMPLES),
                 // One plan's work may be turned away where others' is not: it then goes elsewhere, and only it.
                 Outcome::Full => {
                     let full = t.full.entry(plan).or_default();
@@ -906,11 +889,6 @@
                 Outcome::Reset | Outcome::Failed | Outcome::Canceled | Outcome::Ignored => {}
             }
         }
-        let Some(inv) = self.invs.get_mut(&id) else { return };
-        if let Some(d) = inv.deliveries.get_mut(no.0 as usize).filter(|d| d.out) {
-            (d.out, d.idle) = (false, outcome.never_ran());
-            self.customers.get_mut(&inv.customer).into_iter().for_each(|c| c.out -= 1);
-        }
     }
 
     /// Settled units: the difference goes to the running slot.
@@ -994,23 +972,21 @@
             // Absent from a whole list is gone.
             self.tgts.values_mut().for_each(|t| t.entry.health = Health::Gone);
         }
-        let heard = self.now;
         for e in entries {
             let t = self.tgts.entry(e.tgt).or_default();
             if e.health != Health::Up {
                 t.entry.health = e.health; // It may come back as it was, with what it was sent while cold.
                 continue;
             }
-            if t.heard.is_zero() || t.entry.since != e.since {
+            if t.credit_at.is_zero() || t.entry.since != e.since {
                 // A new process: nothing measured of the last one holds.
-                let out = std::mem::take(&mut t.out);
                 let credit = -self.set.most_units.max(1.0) * self.rng.random::<f64>();
-                *t = Tgt { out, heard, credit, credit_at: heard, ..Tgt::default() };
+                *t = Tgt { out: t.out, credit, credit_at: self.now, ..Tgt::default() };
             }
             t.entry = e.clone();
         }
         let recent = self.now.saturating_sub(self.set.overload_for);
-        let used = |t: &Tgt| t.credit_at > recent || !t.out.is_empty();
+        let used = |t: &Tgt| t.credit_at > recent || t.out > 0;
         self.tgts.retain(|_, t| t.entry.health != Health::Gone || used(t));
         if form == ListForm::Restored && self.set.discovery == Discovery::Subscribed {
             self.out.push(Action::Watch { on: true });
