--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,9 +7,10 @@
 //! The design (docs/design.md): an invocation adds its units to its customer's count of the running
 //! slot on the counter, the slots inside the sliding window are summed, and it is throttled if the sum
 //! passes the burst, its add then undone. Beside the design stand six mechanisms:
-//!  1. doubt: how often the counter is asked follows how it answers; else a verdict from own knowledge
+//!  1. doubt: how often the counter is asked follows how it answers, near quotas first; else the others' use
+//!     is guessed by their pace, from all that was seen of it
 //!  2. repair: own admitted units are a lower bound; what the counter lacks goes in with the next add
-//!  3. places: work waits in line here; each backend's places follow what it answers
+//!  3. places: work waits in line here; the fleet's places, each gateway's part of them, follow its answers
 //!  4. early end: what can't be answered within its latency objective is given up at once
 //!  5. another go: further deliveries and second copies, only where rules, time and load leave room
 //!  6. warm-up: a fresh backend is passed over by chance and holds to this gateway's part of a budget
@@ -22,8 +23,8 @@
 
 use crate::interface::*;
 
-/// Gateways of a customer up to which its window is two slots, else one: finer follows it closer, but each gateway
-/// reads each slot; where few invocations come in at each, a call has to tell as much of the window as it can.
+/// Gateways of a customer up to which its window is two slots, else one: where few invocations come in at
+/// each, reads would outnumber adds, and a call has to tell as much of the window as it can.
 const CUT_SPREAD: u32 = 4;
 /// The counter keeps a name for 60 s at most; names outlive the window by this many slots.
 const KEEP: u64 = 3;
@@ -34,23 +35,22 @@
 const FINAL_AFTER: u32 = 3;
 /// Part of the burst up to which guesses stand in for unread slots: half leaves room to be wrong twofold.
 const UNREAD_UP_TO: f64 = 0.5;
-/// What was seen of a customer's pace fades over this: spikes pass in seconds, heavy customers stay heavy.
+/// What was seen of a customer's pace fades over this, in so many slots at most: spikes pass, heavy stay.
 const MEMORY: Duration = Duration::from_secs(20);
-/// Slots after which nothing of it is left.
 const GONE: u64 = 60;
-/// Part of the rate that a customer not known yet is taken to use, and that guess's weight in mean invocations.
+/// Part of the rate that an unknown customer is taken to use, and that guess's weight in mean invocations.
 const USUAL_FIRST: f64 = 0.5;
 const USUAL_UNITS: f64 = 1.5;
-/// The others hold to the quota too: what they admit is guessed up to this part of the rate (bursts come on top).
+/// The others hold to the quota too: what they admit is guessed up to this part of the rate, for bursts.
 const PACE_MOST: f64 = 1.5;
-/// Part of guessed units by which a window may be over, times what is earned inside over the cost beyond, less 1.
+/// Part of guessed units by which a window may be over, times (earned inside / cost beyond - 1).
 const GUESS_SLACK: f64 = 0.3;
 /// Part of invocations that still ask a dead counter: a few a second find its return, none wait long.
 const ASK_LEAST: f64 = 0.05;
-/// Asking falls by this at a failed call: out in twenty, and few are lost where a counter is too small for good.
+/// Asking falls by this at a failed call: out in twenty; few are lost where a counter is too small for good.
 const ASK_FALLS: f64 = 0.85;
-/// It grows by this at a prompt call, times the prompt ones in a row, by the latter at the most: little while late
-/// ones come in between (gateways must not all come back together), back in two dozen after an outage.
+/// It grows by this at a prompt call, times those in a row, by the latter at most: little while late ones
+/// come in between, back in two dozen after an outage, not all gateways together.
 const ASK_GROWS: f64 = 0.02;
 const ASK_JUMPS: f64 = 1.35;
 /// A call answered later than this part of its time-out stood in line.
@@ -66,12 +66,12 @@
 /// Places grow while answers take less than this part of the latency objective, and fall beyond: quick enough
 /// to leave room for a line and another go. A time "at ease" can't be learned on days that begin under load.
 const ENOUGH: f64 = 0.1;
-/// A refusal moves a plan's part turned away this far to all, an answer this far back: a cap lets some through.
+/// A refusal moves a plan's part turned away this far to all, an answer this far back.
 const FULL_STEP: f64 = 0.5;
 /// A backend that refuses connections is tried again after this, doubled at each failure up to the most.
 const BACK_FIRST: Duration = Duration::from_millis(100);
 const BACK_MOST: Duration = Duration::from_secs(2);
-/// Part of an invocation's time that the line before it may take: more, and what it doesn't turn away is late.
+/// Part of an invocation's time that the line before it may take: more, and what it keeps is late.
 const LINE_PART: f64 = 0.25;
 /// Second copies as a part of first deliveries, saved up to ten: enough for one bad backend in ten.
 const COPIES: f64 = 0.1;
@@ -83,7 +83,7 @@
 const USUAL_WEIGHT: f64 = 3.0;
 /// Part of the budget for a cold backend that this gateway's part may use: work sizes vary by chance.
 const COLD_PART: f64 = 0.5;
-/// Units that a cold backend gets in a span of its budget from all gateways, where no warm one tells its flow.
+/// Units that a cold backend gets from all gateways in a span of its budget where no warm one tells its flow.
 const COLD_LEAST: f64 = 2.0;
 /// Span over which the flow to warm backends is taken: long against chance, short against load's swing.
 const FLOW_SPAN: Duration = Duration::from_secs(4);
@@ -168,7 +168,7 @@
     debt: f64,
     oldest: u64,
     learned: u64,
-    /// Units seen of late, and the slots they were seen in: a told one whole, else this gateway's share of it.
+    /// Units seen of late, and the slots they were seen in: a told one whole, else this gateway's share.
     units: f64,
     span: f64,
     own_seen: f64,
@@ -220,7 +220,7 @@
     fails: u32,
     /// Part of each plan's deliveries that it turned away of late.
     full: BTreeMap<PlanId, f64>,
-    /// Units that this gateway may send while it is cold, earned up to `credit_at`; a delivery needs one of 0.
+    /// Units that this gateway may send while it is cold, earned up to `credit_at`; a delivery needs 0.
     credit: f64,
     credit_at: Duration,
 }
@@ -258,7 +258,6 @@
     calls: BTreeMap<String, VecDeque<Call>>,
     due: BTreeSet<(Duration, Due)>,
     armed: Option<Duration>,
-    looks: bool,
     ask: f64,
     prompt: f64,
     places: f64,
@@ -281,7 +280,6 @@
             calls: BTreeMap::new(),
             due: BTreeSet::new(),
             armed: None,
-            looks: false,
             ask: 1.0,
             prompt: 0.0,
             places: PLACES_START,
@@ -319,8 +317,7 @@
         self.pump();
         self.run_due();
         self.sweep();
-        if !self.line.is_empty() && !self.looks {
-            self.looks = true;
+        if !self.line.is_empty() && self.due.first().is_none_or(|d| d.0 > now + LOOK) {
             self.due.insert((now + LOOK, Due::Look));
         }
         if let Some(&(at, _)) = self.due.first()
@@ -404,8 +401,8 @@
         if self.set.counter.is_none() || self.rng.random::<f64>() >= ask {
             return self.verdict(id, false);
         }
-        let s = self.customers.get_mut(&customer).expect("made above").slots.entry(self.invs[&id].slot);
-        let s = s.or_default();
+        let c = self.customers.get_mut(&customer).expect("made above");
+        let s = c.slots.entry(self.invs[&id].slot).or_default();
         // Repair: what the counter lacks of the units admitted here (not asked, or lost), or holds too much.
         let add = units + s.own + s.asking - s.put;
         s.asking += units;
@@ -421,8 +418,8 @@
         let upto = s.put;
         let mut text = customer.0.to_string();
         if text.len() > 40 {
-            let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
-            text = format!("{:x}", text.bytes().fold(0xcbf2_9ce4_8422_2325, step)); // FNV-1a
+            let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3); // FNV-1a
+            text = format!("{:x}", text.bytes().fold(0xcbf2_9ce4_8422_2325, step));
         }
         let name = format!("{slot}/{text}");
         let call = Call { customer, slot, add, upto, asks, read, at: self.now };
@@ -466,12 +463,10 @@
         let Some(inv) = self.invs.get(&id).filter(|i| self.metered(i.plan)) else { return };
         let rate = self.set.plans[inv.plan.0].rate;
         let Some(c) = self.customers.get_mut(&inv.customer) else { return };
-        let slot = used * rate * c.len;
-        (c.units, c.span) = (c.units + slot, c.span + 1.0);
+        (c.units, c.span) = (c.units + used * rate * c.len, c.span + 1.0);
     }
 
-    /// Units a slot that come in at all gateways, by what was seen of the windows kept (all of the told time,
-    /// this gateway's share of the rest) and by the usual, which weighs as much as an invocation or two.
+    /// Units a slot that come in at all gateways, by what was seen of late and by the usual.
     fn pace(&self, c: &Customer) -> f64 {
         let p = &self.set.plans[c.plan.0];
         let usual = USUAL_FIRST * p.rate * c.len;
@@ -484,9 +479,8 @@
         (units / slots).min(PACE_MOST * p.rate * c.len)
     }
 
-    /// Units held by the customer's window as far as known, with others at this `pace` where nothing was told.
-    /// Where the window holds a burst that came after a quiet time, the store behind the quota refills as it
-    /// drains: the finished slots tell that as well, and the lower of the two holds.
+    /// Units in the customer's window as far as known, with others at this `pace` where nothing was told.
+    /// After a quiet time the store behind the quota refills as it drains: the lower of the two holds.
     fn sum(&self, c: &Customer, pace: f64) -> f64 {
         let p = &self.set.plans[c.plan.0];
         let (len, at, share) = (c.len, self.now.as_secs_f64() / c.len, c.share(p.burst));
@@ -526,8 +520,7 @@
         if queue.is_empty() {
             self.calls.remove(&name);
         }
-        // A crowded counter answers many too late, and works on them all the same: follow its line, not
-        // only its failures, or half of the calls are lost while every gateway pushes.
+        // A crowded counter works on calls that nobody waits for: follow its line, not only failures.
         let prompt = ok && latency < timeout.mul_f64(ASK_PROMPT);
         self.prompt = if prompt { self.prompt + 1.0 } else { 0.0 };
         let step = if ok { (1.0 + ASK_GROWS * self.prompt).min(ASK_JUMPS) } else { ASK_FALLS };
@@ -642,11 +635,9 @@
 
     /// Rule 2: a throttling reply promises that trying again is harmless.
     fn may_throttle(&self, inv: &Inv) -> bool {
-        let harmless = inv.deliveries.iter().all(|d| d.idle);
         match self.set.operations[inv.op.0].repeat {
-            Repeat::Idempotent => true,
-            Repeat::Tokened { group, .. } => harmless || group == Group::All,
-            Repeat::NonIdempotent => harmless,
+            Repeat::Idempotent | Repeat::Tokened { group: Group::All, .. } => true,
+            _ => inv.deliveries.iter().all(|d| d.idle),
         }
     }
 
@@ -677,8 +668,7 @@
 
     /// Seconds that an answer takes by this quantile of late; a part of the objective before any came.
     fn expect(&self, q: f64, op: OpId) -> f64 {
-        let aim = self.set.operations[op.0].latency_objective.as_secs_f64();
-        self.lat.quantile(q).unwrap_or(aim / 8.0)
+        self.lat.quantile(q).unwrap_or(self.set.operations[op.0].latency_objective.as_secs_f64() / 8.0)
     }
 
     fn objective(&self, inv: &Inv) -> Duration {
@@ -722,18 +712,14 @@
         if e.since.is_zero() || age >= 1.0 { 1.0 } else { cold }
     }
 
-    /// Units a second that each warm backend served of late for this gateway, on the average. What it turned
-    /// away does not count: in a jam that is most of what is sent.
-    fn warm_flow(&self) -> f64 {
-        let run = self.now.saturating_sub(self.flow.0).as_secs_f64();
-        (self.flow.1 + self.flow.2) / (FLOW_SPAN.as_secs_f64() + run)
-    }
-
     /// Units that this gateway may send to a cold backend, none above 0 saved up.
     fn credit(&self, t: &Tgt, warm: f64) -> f64 {
         let span = self.set.overload_for.as_secs_f64().max(1e-3);
         let least = COLD_LEAST / f64::from(self.set.gateways.max(1)) / span;
-        let earns = (COLD_PART * self.set.overload_factor * self.warm_flow()).max(least) * warm;
+        // What each warm backend served of late: what it turned away is most of what is sent in a jam.
+        let run = FLOW_SPAN + self.now.saturating_sub(self.flow.0);
+        let flow = (self.flow.1 + self.flow.2) / run.as_secs_f64();
+        let earns = (COLD_PART * self.set.overload_factor * flow).max(least) * warm;
         (t.credit + earns * self.now.saturating_sub(t.credit_at).as_secs_f64()).min(0.0)
     }
 
@@ -751,19 +737,19 @@
             if f64::from(tgt.out) + 1.0 > (part * warm).max(1.0) {
                 continue;
             }
-            // Pushed over, it stays down: this gateway's part is earned by time, from a start by chance,
-            // so that hundreds with less than one delivery each neither send one all at once nor none.
+            // Pushed over, it stays down: this gateway's part is earned by time, from a start by chance, so
+            // that hundreds with less than one delivery each neither send one all at once nor none.
             if warm < 1.0 && (self.credit(tgt, warm) < 0.0 || self.rng.random::<f64>() >= warm) {
                 continue;
             }
             let lat = tgt.lat.mean(usual);
             let tried = inv.deliveries.iter().any(|d| d.tgt == t);
             let taken = 1.0 - tgt.full.get(&inv.plan).copied().unwrap_or(0.0);
-            let cost = lat / taken.powi(2) * (f64::from(tgt.out) + 1.0) / tgt.entry.weight.max(0.1)
-                * if tried { 100.0 } else { 1.0 }
-                // The less of a backend is this gateway's, the less its own deliveries tell of the load there:
-                // then the choice is by lot, or hundreds that know as little would all choose the same.
-                * (-self.rng.random::<f64>().max(EPS).ln()).powf(1.0 / (1.0 + part));
+            // The less of a backend is this gateway's, the less its own deliveries tell of the load there:
+            // then the choice is by lot, or hundreds that know as little would all choose the same.
+            let lot = (-self.rng.random::<f64>().max(EPS).ln()).powf(1.0 / (1.0 + part));
+            let cost = lat * lot * (f64::from(tgt.out) + 1.0) / tgt.entry.weight.max(0.1)
+                * if tried { 100.0 } else { 1.0 / taken.powi(2) };
             if best.is_none_or(|(b, _)| cost < b) {
                 best = Some((cost, t));
             }
@@ -776,8 +762,7 @@
         let plan = self.set.plans.get(inv.plan.0).filter(|p| p.max_out > 0.0);
         let Some(&Plan { max_out: cap, burst, .. }) = plan else { return false };
         let c = &self.customers[&inv.customer];
-        let part = (cap * c.share(burst)).round().max(1.0);
-        f64::from(c.out) >= part
+        f64::from(c.out) >= (cap * c.share(burst)).round().max(1.0)
     }
 
     /// Deliveries of this gateway that are out.
@@ -785,8 +770,7 @@
         f64::from(self.tgts.values().map(|t| t.out).sum::<u32>())
     }
 
-    /// This gateway's part of all places of the fleet: where it is less than one at a backend, hundreds that
-    /// each held one would jam it, and too few answers come from each to learn by.
+    /// This gateway's part of the fleet's places: hundreds that each held one at a backend would jam it.
     fn all_places(&self) -> f64 {
         let up = |t: &&Tgt| t.entry.health == Health::Up && self.now >= t.blocked;
         let part = self.places / f64::from(self.set.gateways.max(1));
@@ -875,7 +859,7 @@
                     }
                 }
                 Outcome::TimedOut => t.lat.note(latency, TGT_SAMPLES),
-                // One plan's work may be turned away where others' is not: it then goes elsewhere, and only it.
+                // One plan's work may be turned away where others' is not: only it then goes elsewhere.
                 Outcome::Full => {
                     let full = t.full.entry(plan).or_default();
                     *full += FULL_STEP * (1.0 - *full);
@@ -885,7 +869,7 @@
                     t.fails += 1;
                     t.blocked = t.blocked.max(self.now + back.min(BACK_MOST));
                 }
-                // A broken connection tells of the way there, not of the backend's load or life.
+                // A reset tells of the way there, not of the backend.
                 Outcome::Reset | Outcome::Failed | Outcome::Canceled | Outcome::Ignored => {}
             }
         }
@@ -915,8 +899,7 @@
         let late = self.set.operations[inv.op.0].late_value > 0.0;
         let until = if late { inv.deadline } else { self.objective(inv) };
         let left = until.saturating_sub(self.now).as_secs_f64();
-        let can = self.tgts.values().any(|t| self.may_deliver(inv, t));
-        if can && left > self.expect(0.5, inv.op) {
+        if self.tgts.values().any(|t| self.may_deliver(inv, t)) && left > self.expect(0.5, inv.op) {
             self.stand(id, until);
         } else {
             self.throttle(id);
@@ -939,7 +922,6 @@
                 Due::Final(id) if self.invs.get(&id).is_some_and(|i| !i.started) => self.throttle(id),
                 Due::Objective(id, at) if self.line.contains(&(at, id)) => self.throttle(id),
                 Due::Copy(id) => self.copy(id),
-                Due::Look => self.looks = false,
                 Due::Watch => self.out.push(Action::Watch { on: true }),
                 _ => {}
             }
@@ -950,12 +932,11 @@
     fn copy(&mut self, id: InvId) {
         let Some(inv) = self.invs.get(&id) else { return };
         let left = self.objective(inv).saturating_sub(self.now).as_secs_f64();
-        let out_now = inv.deliveries.iter().filter(|d| d.out).count();
-        let useful = out_now == 1 && left > self.expect(0.5, inv.op);
-        if !useful || !self.line.is_empty() || self.copies < 1.0 {
-            return;
-        }
-        if let Some(tgt) = self.choose(id)
+        let one = inv.deliveries.iter().filter(|d| d.out).count() == 1 && left > self.expect(0.5, inv.op);
+        if one
+            && self.line.is_empty()
+            && self.copies >= 1.0
+            && let Some(tgt) = self.choose(id)
             && self.invs[&id].deliveries.iter().all(|d| d.tgt != tgt)
         {
             self.copies -= 1.0;
@@ -986,8 +967,7 @@
             t.entry = e.clone();
         }
         let recent = self.now.saturating_sub(self.set.overload_for);
-        let used = |t: &Tgt| t.credit_at > recent || t.out > 0;
-        self.tgts.retain(|_, t| t.entry.health != Health::Gone || used(t));
+        self.tgts.retain(|_, t| t.entry.health != Health::Gone || t.credit_at > recent || t.out > 0);
         if form == ListForm::Restored && self.set.discovery == Discovery::Subscribed {
             self.out.push(Action::Watch { on: true });
         }
@@ -1005,8 +985,7 @@
         self.customers.retain(|_, c| {
             let p = &plans[c.plan.0];
             let fill = (2.0 * p.burst / p.rate.max(EPS)).max(p.ceiling_burst / p.ceiling_rate.max(EPS));
-            let fill = fill.max(MEMORY.as_secs_f64());
-            c.held > 0 || self.now < c.used_at + Duration::from_secs_f64(fill) + FLOW_SPAN
+            c.held > 0 || self.now < c.used_at + Duration::from_secs_f64(fill).max(MEMORY) + FLOW_SPAN
         });
     }
 }
@@ -1014,7 +993,7 @@
 impl Customer {
     /// Part of the customer's use that comes in here, drawn towards an even spread.
     fn share(&self, burst: f64) -> f64 {
-        // Slots are told where something came in here: the more gateways, the more that shows too large a share.
+        // Slots are told where something came in here: the more gateways, the more too large a share shows.
         let even = burst.max(1.0) * self.spread / f64::from(CUT_SPREAD);
         ((self.own_seen + even / self.spread) / (self.all_seen + even)).clamp(0.2 / self.spread, 1.0)
     }
