--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,6 +35,8 @@
 const FINAL_AFTER: u32 = 3;
 /// Part of the burst up to which guesses stand in for unread slots: half leaves room to be wrong twofold.
 const UNREAD_UP_TO: f64 = 0.5;
+/// A window told full is not asked about again for this long: add and undo would be calls for nothing.
+const FULL_FOR: Duration = Duration::from_millis(100);
 /// What was seen of a customer's pace fades over this, in so many slots at most: spikes pass, heavy stay.
 const MEMORY: Duration = Duration::from_secs(20);
 const GONE: u64 = 60;
@@ -355,7 +357,7 @@
         let margin = self.set.tick.max(Duration::from_millis(1)); // A batch later is too late.
         self.due.insert((inv.deadline.saturating_sub(margin), Due::Final(id)));
         let metered = self.metered(inv.plan);
-        let (customer, units, plan) = (inv.customer.clone(), inv.units, inv.plan);
+        let (customer, units, plan, again) = (inv.customer.clone(), inv.units, inv.plan, inv.repeat);
         if let Some(p) = self.set.plans.get(plan.0) {
             // The same at all gateways of the customer, or they would count under different names.
             let cut = if spread > CUT_SPREAD { 1 } else { 2 };
@@ -388,14 +390,14 @@
         self.roll(&customer);
         let c = self.customers.get_mut(&customer).expect("made above");
         // A client's next try asks for nothing more; where it isn't flagged, refusals show as a surge.
-        c.slots.entry(self.invs[&id].slot).or_default().came +=
-            if self.invs[&id].repeat { 0.0 } else { units };
+        c.slots.entry(self.invs[&id].slot).or_default().came += if again { 0.0 } else { units };
         // Known to be full, or no room in the line: refused early, without calls that are then undone.
-        let burst = self.set.plans[plan.0].burst;
-        if self.sum(&self.customers[&customer], 0.0) + units > burst + EPS || self.pressed(id) {
+        let (c, burst) = (&self.customers[&customer], self.set.plans[plan.0].burst);
+        let told = c.slots.get(&self.invs[&id].slot).map_or(Duration::ZERO, |s| s.told);
+        let known = self.ask < ASK_READS || self.now < told + FULL_FOR;
+        if known && self.sum(c, 0.0) + units > burst + EPS || self.pressed(id) {
             return self.throttle(id);
         }
-        let c = &self.customers[&customer];
         let near = (self.sum(c, self.pace(c)) + units) / burst;
         let ask = self.ask.powf(near.max(1.0 / near));
         if self.set.counter.is_none() || self.rng.random::<f64>() >= ask {
@@ -765,7 +767,6 @@
         f64::from(c.out) >= (cap * c.share(burst)).round().max(1.0)
     }
 
-    /// Deliveries of this gateway that are out.
     fn busy(&self) -> f64 {
         f64::from(self.tgts.values().map(|t| t.out).sum::<u32>())
     }
@@ -779,8 +780,7 @@
     }
 
     fn pump(&mut self) {
-        let mut next = self.line.first().copied();
-        let mut misses = 0;
+        let (mut next, mut misses) = (self.line.first().copied(), 0);
         while let Some((at, id)) = next.filter(|_| misses < 3) {
             next = self.line.range((at, InvId(id.0 + 1))..).next().copied();
             if self.capped(&self.invs[&id]) {
@@ -966,8 +966,8 @@
             }
             t.entry = e.clone();
         }
-        let recent = self.now.saturating_sub(self.set.overload_for);
-        self.tgts.retain(|_, t| t.entry.health != Health::Gone || t.credit_at > recent || t.out > 0);
+        let used = |t: &Tgt| t.out > 0 || t.credit_at + self.set.overload_for > self.now;
+        self.tgts.retain(|_, t| t.entry.health != Health::Gone || used(t));
         if form == ListForm::Restored && self.set.discovery == Discovery::Subscribed {
             self.out.push(Action::Watch { on: true });
         }
