--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -34,7 +34,7 @@
                     continue;
                 }
                 wire::Happened::Begin { gateway_id, rng_seed, facts } => {
-                    let settings = translate::settings(&facts)?;
+                    let settings = damsonbeam_settings::settings(&facts)?;
                     self.instances.insert(gateway_id, Rules::new(rng_seed, settings, now));
                     continue;
                 }
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,5 +1,6 @@
 //! The simulator's wire, as it stands in a line of JSON.
 
+use damsonbeam_settings::Facts;
 use serde::{Deserialize, Serialize};
 
 #[derive(Deserialize)]
@@ -157,85 +158,6 @@
     pub backend: u32,
 }
 
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-pub struct Facts {
-    pub ceilings: Ceilings,
-    pub discovery: String,
-    pub domain: Domain,
-    pub locality: u32,
-    pub plans: Vec<Plan>,
-    pub request_classes: Vec<Class>,
-    pub rules: RuleFacts,
-    pub self_index: u32,
-    pub siblings: u32,
-    pub tick_ns: u64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-pub struct Ceilings {
-    pub cancel: bool,
-    pub connect_timeout_ns: u64,
-    pub max_open: usize,
-    pub max_retry_after_ns: u64,
-    pub may_tell: bool,
-    pub parallel_tries: bool,
-    pub probes: bool,
-    pub retry_after: bool,
-    pub try_limit: u32,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-pub struct Domain {
-    pub call_price: f64,
-    pub counter_timeout_ns: u64,
-    pub has_counter: bool,
-    pub meter_ns: u64,
-    pub most_units: f64,
-    pub settles: bool,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-pub struct Plan {
-    pub cap_rate: f64,
-    pub excess_worth: f64,
-    pub hard_slack: f64,
-    pub max_out: f64,
-    pub never_over_depth: f64,
-    pub overrun_cost: f64,
-    pub quota_rate: f64,
-    pub store_size: f64,
-    pub value_factor: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-pub struct Class {
-    pub deadline_ns: u64,
-    pub group: String,
-    pub idempotency: String,
-    pub importance: f64,
-    pub late_worth: f64,
-    pub slo_ns: u64,
-    pub streamed: bool,
-    pub window_ns: u64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-pub struct RuleFacts {
-    pub answer_slack_ns: u64,
-    pub ask_within_ns: u64,
-    pub cold_ns: u64,
-    pub cold_share: f64,
-    pub drain_grace_ns: u64,
-    pub overload_factor: f64,
-    pub tip_after_ns: u64,
-}
-
 #[derive(Serialize)]
 #[serde(tag = "t", rename_all = "kebab-case", rename_all_fields = "kebab-case")]
 pub enum Output {
--- /dev/null
+++ b/crates/gateway/src/backends.rs
@@ -0,0 +1,373 @@
+//! The backends: an actor each, with its own pool of connections; a connection carries one delivery at a time.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::{Shutdown, SocketAddr};
+use std::pin::Pin;
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use damsonbeam::interface::{DeliveryNo, InvId, Outcome, Report};
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until, timeout};
+
+use crate::log::log;
+use crate::module;
+
+pub const BODY: usize = 64 << 10;
+pub static TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
+static UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
+static LOAD: HeaderName = HeaderName::from_static("x-backend-load");
+
+/// What of a client's request goes on to a backend.
+pub struct Ask {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// A backend's answer that goes to the client.
+pub struct Reply {
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+pub enum Mail {
+    Deliver(Job),
+    CloseIdle,
+}
+
+pub struct Job {
+    pub inv: InvId,
+    pub no: DeliveryNo,
+    pub ask: Rc<Ask>,
+    /// How long the gateway will wait.
+    pub wait: Duration,
+    pub line: Rc<Line>,
+}
+
+/// How a delivery ended; the reply with a succeeded one.
+pub struct Done {
+    pub inv: InvId,
+    pub no: DeliveryNo,
+    pub outcome: Outcome,
+    pub reply: Option<Reply>,
+    pub report: Report,
+}
+
+/// A delivery's hold on its connection, by which it is given up.
+#[derive(Default)]
+pub struct Line {
+    over: Cell<bool>,
+    socket: RefCell<Weak<TcpStream>>,
+}
+
+impl Line {
+    /// Ends the connection at once: whatever is sent after this leaves later.
+    pub fn give_up(&self) {
+        self.over.set(true);
+        if let Some(socket) = self.socket.borrow().upgrade() {
+            SockRef::from(&*socket).shutdown(Shutdown::Both).ok();
+        }
+    }
+}
+
+/// How much of a request has been written to its connection.
+#[derive(Default)]
+pub struct Meter {
+    /// Bytes of its body, and whether it is the end of the head that is still looked for.
+    body: Cell<usize>,
+    head: Cell<bool>,
+    /// Bytes of `\r\n\r\n` seen last.
+    mark: Cell<usize>,
+}
+
+impl Meter {
+    fn begin(&self, body: usize) {
+        self.body.set(body);
+        self.head.set(true);
+        self.mark.set(0);
+    }
+
+    pub fn wrote(&self, mut bytes: &[u8]) {
+        while self.head.get() {
+            let Some((&b, rest)) = bytes.split_first() else { return };
+            bytes = rest;
+            let mark = self.mark.get();
+            let next = if b == b"\r\n\r\n"[mark] { mark + 1 } else { usize::from(b == b'\r') };
+            self.mark.set(next);
+            self.head.set(next < 4);
+        }
+        self.body.set(self.body.get().saturating_sub(bytes.len()));
+    }
+
+    /// The last byte is written: the request may have run from here on.
+    fn whole(&self) -> bool {
+        !self.head.get() && self.body.get() == 0
+    }
+}
+
+/// A connection as hyper drives it. Deliveries only borrow the socket, so it closes when hyper lets it go.
+struct Wire {
+    socket: Rc<TcpStream>,
+    meter: Rc<Meter>,
+    _open: Open,
+}
+
+/// Counts open connections.
+struct Open(Rc<Cell<usize>>);
+
+impl Open {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Open(open.clone())
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl AsyncRead for Wire {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.socket.poll_read_ready(cx))?;
+            match self.socket.try_read_buf(buf) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                done => return Poll::Ready(done.map(|_| ())),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Wire {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.socket.poll_write_ready(cx))?;
+            match self.socket.try_write(bytes) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                done => {
+                    if let Ok(n) = done {
+                        self.meter.wrote(&bytes[..n]);
+                    }
+                    return Poll::Ready(done);
+                }
+            }
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.socket).shutdown(Shutdown::Write))
+    }
+}
+
+struct Conn {
+    send: SendRequest<Full<Bytes>>,
+    socket: Weak<TcpStream>,
+    meter: Rc<Meter>,
+}
+
+/// What all backends' actors share.
+pub struct Fleet {
+    pub connect_timeout: Duration,
+    /// Idle connections are closed after this.
+    pub keep: Duration,
+    pub reports: Vec<String>,
+    /// Connections at most, and those open.
+    pub most: usize,
+    pub open: Rc<Cell<usize>>,
+    pub module: mpsc::Sender<module::Mail>,
+}
+
+pub struct Backend {
+    pub at: SocketAddr,
+    pub fleet: Rc<Fleet>,
+    pub mailbox: mpsc::Receiver<Mail>,
+}
+
+impl Backend {
+    /// Until the mailbox is closed and all deliveries have ended.
+    pub async fn run(mut self) {
+        // The one used last goes out first; the oldest stand in front.
+        let mut idle: Vec<(Conn, Instant)> = Vec::new();
+        let mut running = FuturesUnordered::new();
+        let expiry = sleep_until(Instant::now());
+        tokio::pin!(expiry);
+        let (mut armed, mut open) = (false, true);
+        while open || !running.is_empty() {
+            tokio::select! {
+                biased;
+                Some(back) = running.next(), if !running.is_empty() => {
+                    if let Some(conn) = back {
+                        idle.push((conn, Instant::now()));
+                        if !armed {
+                            armed = true;
+                            expiry.as_mut().reset(Instant::now() + self.fleet.keep);
+                        }
+                    }
+                }
+                mail = self.mailbox.recv(), if open => match mail {
+                    Some(Mail::Deliver(job)) => {
+                        let keep = self.fleet.keep;
+                        idle.retain(|(conn, at)| !conn.send.is_closed() && at.elapsed() < keep);
+                        let conn = idle.pop().map(|(conn, _)| conn);
+                        running.push(deliver(self.fleet.clone(), self.at, conn, job));
+                    }
+                    Some(Mail::CloseIdle) => idle.clear(),
+                    None => {
+                        open = false;
+                        idle.clear();
+                    }
+                },
+                () = &mut expiry, if armed => {
+                    let keep = self.fleet.keep;
+                    idle.retain(|(conn, at)| !conn.send.is_closed() && at.elapsed() < keep);
+                    armed = !idle.is_empty();
+                    if let Some((_, at)) = idle.first() {
+                        expiry.as_mut().reset(*at + keep);
+                    }
+                }
+            }
+        }
+    }
+}
+
+async fn connect(fleet: &Fleet, at: SocketAddr) -> Result<Conn, String> {
+    if fleet.open.get() >= fleet.most {
+        return Err(format!("{} connections are open", fleet.most));
+    }
+    let open = Open::new(&fleet.open);
+    let socket = match timeout(fleet.connect_timeout, TcpStream::connect(at)).await {
+        Ok(socket) => socket.map_err(|e| e.to_string())?,
+        Err(_) => return Err("no connection in time".into()),
+    };
+    socket.set_nodelay(true).map_err(|e| e.to_string())?;
+    let (socket, meter) = (Rc::new(socket), Rc::<Meter>::default());
+    let wire = Wire { socket: socket.clone(), meter: meter.clone(), _open: open };
+    let (send, conn) = handshake(TokioIo::new(wire)).await.map_err(|e| e.to_string())?;
+    tokio::task::spawn_local(async move { conn.await.ok() });
+    Ok(Conn { send, socket: Rc::downgrade(&socket), meter })
+}
+
+/// One delivery; its connection comes back if it can carry another.
+async fn deliver(fleet: Rc<Fleet>, at: SocketAddr, conn: Option<Conn>, job: Job) -> Option<Conn> {
+    let tell = |outcome, reply, report| {
+        let done = Done { inv: job.inv, no: job.no, outcome, reply, report };
+        let module = fleet.module.clone();
+        async move { module.send(module::Mail::Done(done)).await.ok() }
+    };
+    let conn = match conn {
+        Some(conn) => Ok(conn),
+        None => connect(&fleet, at).await,
+    };
+    let mut conn = match conn {
+        Ok(conn) => conn,
+        Err(why) => {
+            log!("backend-unreachable", "{at}: {why}");
+            tell(Outcome::ConnectFailed, None, vec![]).await;
+            return None;
+        }
+    };
+    // Given up before anything was written: the new connection serves the next.
+    if job.line.over.get() {
+        return Some(conn);
+    }
+    *job.line.socket.borrow_mut() = conn.socket.clone();
+    conn.meter.begin(job.ask.body.len());
+    let answer = match conn.send.send_request(request(&job)).await {
+        Ok(answer) => whole(answer).await,
+        Err(e) => Err(e.to_string()),
+    };
+    *job.line.socket.borrow_mut() = Weak::new();
+    match answer {
+        Ok((status, mut headers, body)) => {
+            let report = report(&headers, &fleet.reports);
+            let outcome = outcome(status, &headers);
+            let close = headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
+            let reply = (outcome == Outcome::Ok).then(|| {
+                end_to_end(&mut headers);
+                headers.remove(&LOAD);
+                Reply { headers, body }
+            });
+            tell(outcome, reply, report).await;
+            (!close && !job.line.over.get() && conn.send.ready().await.is_ok()).then_some(conn)
+        }
+        Err(why) => {
+            // Unless the last byte was written it never ran; in doubt it may have.
+            let outcome = if conn.meter.whole() { Outcome::Reset } else { Outcome::ConnectFailed };
+            if !job.line.over.get() {
+                log!("delivery-broken", "{at}: {why}");
+            }
+            tell(outcome, None, vec![]).await;
+            None
+        }
+    }
+}
+
+fn request(job: &Job) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(job.ask.body.clone()));
+    *request.method_mut() = job.ask.method.clone();
+    *request.uri_mut() = job.ask.uri.clone();
+    *request.headers_mut() = job.ask.headers.clone();
+    request.headers_mut().insert(&TIME_LEFT, HeaderValue::from(job.wait.as_millis() as u64));
+    request
+}
+
+type Whole = (StatusCode, HeaderMap, Bytes);
+
+async fn whole(answer: Response<hyper::body::Incoming>) -> Result<Whole, String> {
+    let (head, body) = answer.into_parts();
+    let body = Limited::new(body, BODY).collect().await.map_err(|e| e.to_string())?.to_bytes();
+    Ok((head.status, head.headers, body))
+}
+
+fn outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
+    let unprocessed = headers.get(&UNPROCESSED).is_some_and(|v| v == "1");
+    match status {
+        StatusCode::OK => Outcome::Ok,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => Outcome::Full,
+        // Any other answer leaves open whether it ran.
+        _ => Outcome::Failed,
+    }
+}
+
+/// The values of a load report in the settings' order; none if it isn't whole.
+fn report(headers: &HeaderMap, names: &[String]) -> Report {
+    let Some(text) = headers.get(&LOAD).filter(|_| !names.is_empty()) else { return vec![] };
+    let fields: Vec<(&str, &str)> =
+        text.to_str().unwrap_or("").split(',').filter_map(|f| f.trim().split_once('=')).collect();
+    let value = |name: &String| fields.iter().find(|f| f.0 == name)?.1.parse().ok();
+    names.iter().map(value).collect::<Option<_>>().unwrap_or_default()
+}
+
+/// Leaves the headers that are meant for the far end.
+pub fn end_to_end(headers: &mut HeaderMap) {
+    if let Some(named) = headers.remove(CONNECTION) {
+        for name in named.to_str().unwrap_or("").split(',') {
+            headers.remove(name.trim());
+        }
+    }
+    for name in ["keep-alive", "proxy-connection", "te", "trailer", "upgrade"] {
+        headers.remove(name);
+    }
+    headers.remove(CONTENT_LENGTH);
+    headers.remove(TRANSFER_ENCODING);
+}
--- /dev/null
+++ b/crates/gateway/src/config.rs
@@ -0,0 +1,101 @@
+//! The one place where configuration is read, checked and given defaults.
+
+use std::net::SocketAddr;
+
+use damsonbeam::interface::Settings;
+use damsonbeam_settings::Facts;
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::list::Page;
+
+/// Descriptors kept for all but clients and backends: listener, counter, list, peers, the runtime's own.
+const RESERVE: usize = 64;
+const SOCKETS: usize = 1024;
+
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub counter: Option<SocketAddr>,
+    pub peer_listen: Option<SocketAddr>,
+    pub peers: Vec<SocketAddr>,
+    pub peers_all: Option<SocketAddr>,
+    pub seed: u64,
+    pub known: Page,
+    pub facts: Facts,
+    pub settings: Settings,
+    /// Client connections at most, and connections to backends at most.
+    pub clients: usize,
+    pub backends: usize,
+}
+
+#[derive(Deserialize)]
+struct Raw {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    #[serde(default)]
+    limits: Limits,
+    peer_listen: Option<String>,
+    #[serde(default)]
+    peers: Vec<String>,
+    peers_all: Option<String>,
+    counter: Option<String>,
+    seed: Option<String>,
+    #[serde(default)]
+    known: Page,
+    settings: Value,
+}
+
+#[derive(Deserialize, Default)]
+struct Limits {
+    sockets: Option<usize>,
+}
+
+impl Config {
+    /// From the environment and the file that it names.
+    pub fn read() -> Result<Self, String> {
+        let path = std::env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG is not set")?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
+        Self::parse(&text, |key| std::env::var(key).ok())
+    }
+
+    pub fn parse(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let raw: Raw = serde_json::from_str(text).map_err(|e| format!("NODE_CONFIG: {e}"))?;
+        let addr = |key: &str, value: &str| {
+            value.parse::<SocketAddr>().map_err(|e| format!("{key}: `{value}` is no address: {e}"))
+        };
+        let given = |key: &str, value: Option<String>, var: &str| {
+            value.or_else(|| env(var)).ok_or_else(|| format!("{key}: missing, and {var} is not set"))
+        };
+        let some = |key: &str, value: &Option<String>| value.as_deref().map(|v| addr(key, v)).transpose();
+        let seed = raw.seed.ok_or("seed: missing")?;
+        let facts: Facts = serde_json::from_value(raw.settings).map_err(|e| format!("settings: {e}"))?;
+        let settings = damsonbeam_settings::settings(&facts).map_err(|e| format!("settings: {e}"))?;
+        let counter = some("counter", &raw.counter)?;
+        if settings.counter.is_some() && counter.is_none() {
+            return Err("counter: missing, though settings.domain.has-counter is true".into());
+        }
+        let sockets = raw.limits.sockets.unwrap_or(SOCKETS);
+        if sockets < 4 * RESERVE {
+            return Err(format!("limits.sockets: {sockets} is too few, {} at least", 4 * RESERVE));
+        }
+        let backends = (sockets - RESERVE) * 2 / 5;
+        Ok(Config {
+            name: given("name", raw.name, "NODE_NAME")?,
+            listen: addr("listen", &given("listen", raw.listen, "NODE_LISTEN")?)?,
+            discovery: addr("discovery", &given("discovery", raw.discovery, "NODE_DISCOVERY")?)?,
+            counter,
+            peer_listen: some("peer_listen", &raw.peer_listen)?,
+            peers: raw.peers.iter().map(|p| addr("peers", p)).collect::<Result<_, _>>()?,
+            peers_all: some("peers_all", &raw.peers_all)?,
+            seed: u64::from_str_radix(&seed, 16).map_err(|e| format!("seed: `{seed}` is not hex: {e}"))?,
+            known: raw.known,
+            facts,
+            settings,
+            clients: sockets - RESERVE - backends,
+            backends,
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/counter.rs
@@ -0,0 +1,235 @@
+//! The counter: calls in text lines, one after another on one connection, answers in their order.
+
+use std::collections::VecDeque;
+use std::io::{Error, ErrorKind};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use damsonbeam::interface::Outcome;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{sleep_until, timeout};
+
+use crate::clock::Clock;
+use crate::log::log;
+use crate::module;
+
+/// With calls out and nothing heard for this long, the connection is held for dead.
+const SILENT: Duration = Duration::from_secs(1);
+/// An answer is a word and a number; a longer line is none.
+const LINE: usize = 128;
+
+pub struct Call {
+    pub name: String,
+    pub add: f64,
+    pub keep: Duration,
+    pub at: Duration,
+}
+
+/// A call on its way, with the place in the stream where its last byte stands; none once it is given up,
+/// for its answer still takes its turn.
+struct Sent {
+    call: Option<Call>,
+    end: u64,
+    at: Duration,
+}
+
+pub struct Counter {
+    pub at: SocketAddr,
+    pub timeout: Duration,
+    pub connect_timeout: Duration,
+    pub clock: Clock,
+    pub module: mpsc::Sender<module::Mail>,
+    pub mailbox: mpsc::Receiver<Call>,
+}
+
+#[derive(Default)]
+struct Stream {
+    out: Vec<u8>,
+    written: u64,
+    end: u64,
+    sent: VecDeque<Sent>,
+    heard: Duration,
+    read: Vec<u8>,
+}
+
+impl Stream {
+    fn encode(&mut self, call: Call) {
+        use std::io::Write;
+        let (before, keep) = (self.out.len(), call.keep.as_millis().max(1));
+        write!(self.out, "tally {} {} {keep}\r\n", call.name, call.add).expect("memory takes it");
+        self.end += (self.out.len() - before) as u64;
+        self.sent.push_back(Sent { at: call.at, call: Some(call), end: self.end });
+    }
+
+    fn write(&mut self, socket: &TcpStream) -> Result<(), Error> {
+        while !self.out.is_empty() {
+            match socket.try_write(&self.out) {
+                Ok(n) => {
+                    self.out.drain(..n);
+                    self.written += n as u64;
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+}
+
+/// What a line says: an outcome and the total.
+fn decode(line: &[u8]) -> Option<(Outcome, f64)> {
+    let line = std::str::from_utf8(line).ok()?.trim_end();
+    match line.split_once(' ') {
+        Some(("ok", total)) => {
+            Some((Outcome::Ok, total.trim().parse().ok().filter(|t: &f64| t.is_finite())?))
+        }
+        _ if line == "busy" || line.starts_with("error") => Some((Outcome::Full, 0.0)),
+        _ => None,
+    }
+}
+
+impl Counter {
+    pub async fn run(mut self) {
+        // Calls that wait for a connection.
+        let mut waiting: VecDeque<Call> = VecDeque::new();
+        loop {
+            if waiting.is_empty() {
+                match self.mailbox.recv().await {
+                    Some(call) => waiting.push_back(call),
+                    None => return,
+                }
+            }
+            match self.connect(&mut waiting).await {
+                Some(Ok(socket)) => {
+                    let mut stream = Stream { heard: self.clock.now(), ..Stream::default() };
+                    waiting.drain(..).for_each(|call| stream.encode(call));
+                    let why = self.talk(socket, &mut stream).await;
+                    for s in std::mem::take(&mut stream.sent) {
+                        let written = s.end <= stream.written;
+                        let outcome = if written { Outcome::TimedOut } else { Outcome::ConnectFailed };
+                        self.tell(s.call, outcome, 0.0).await;
+                    }
+                    match why {
+                        Some(e) => log!("counter-lost", "{}: {e}", self.at),
+                        None => return,
+                    }
+                }
+                Some(Err(e)) => {
+                    log!("counter-unreachable", "{}: {e}", self.at);
+                    for call in waiting.drain(..) {
+                        self.tell(Some(call), Outcome::ConnectFailed, 0.0).await;
+                    }
+                }
+                None => return,
+            }
+        }
+    }
+
+    /// Connects while calls come in and run out of time; nothing was written of those.
+    async fn connect(&mut self, waiting: &mut VecDeque<Call>) -> Option<Result<TcpStream, Error>> {
+        let connect = timeout(self.connect_timeout, TcpStream::connect(self.at));
+        tokio::pin!(connect);
+        loop {
+            let due = waiting.front().map(|c| c.at + self.timeout);
+            tokio::select! {
+                biased;
+                done = &mut connect => {
+                    let socket = done.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
+                    return Some(socket.and_then(|s| s.set_nodelay(true).map(|()| s)));
+                }
+                call = self.mailbox.recv() => waiting.push_back(call?),
+                () = sleep_until(self.clock.instant(due.unwrap_or_default())), if due.is_some() => {
+                    let call = waiting.pop_front();
+                    self.tell(call, Outcome::ConnectFailed, 0.0).await;
+                }
+            }
+        }
+    }
+
+    /// Until the connection ends; none when the mailbox did.
+    async fn talk(&mut self, socket: TcpStream, stream: &mut Stream) -> Option<Error> {
+        if let Err(e) = stream.write(&socket) {
+            return Some(e);
+        }
+        let due = sleep_until(self.clock.instant(self.clock.now() + self.timeout));
+        tokio::pin!(due);
+        let mut armed = true;
+        loop {
+            tokio::select! {
+                biased;
+                ready = socket.readable() => {
+                    if let Err(e) = ready.and_then(|()| read(&socket, &mut stream.read)) {
+                        return Some(e);
+                    }
+                    stream.heard = self.clock.now();
+                    let mut from = 0;
+                    while let Some(n) = stream.read[from..].iter().position(|b| *b == b'\n') {
+                        let Some((outcome, total)) = decode(&stream.read[from..from + n]) else {
+                            return Some(Error::new(ErrorKind::InvalidData, "an answer that is none"));
+                        };
+                        from += n + 1;
+                        let Some(sent) = stream.sent.pop_front() else {
+                            return Some(Error::new(ErrorKind::InvalidData, "an answer to no call"));
+                        };
+                        self.tell(sent.call, outcome, total).await;
+                    }
+                    stream.read.drain(..from);
+                    if stream.read.len() > LINE {
+                        return Some(Error::new(ErrorKind::InvalidData, "an answer too long"));
+                    }
+                }
+                call = self.mailbox.recv() => {
+                    stream.encode(call?);
+                    while let Ok(call) = self.mailbox.try_recv() {
+                        stream.encode(call);
+                    }
+                    if let Err(e) = stream.write(&socket) {
+                        return Some(e);
+                    }
+                    if !armed {
+                        armed = true;
+                        due.as_mut().reset(self.clock.instant(self.clock.now() + self.timeout));
+                    }
+                }
+                _ = socket.writable(), if !stream.out.is_empty() => {
+                    if let Err(e) = stream.write(&socket) {
+                        return Some(e);
+                    }
+                }
+                () = &mut due, if armed => {
+                    let now = self.clock.now();
+                    while let Some(s) = stream.sent.iter_mut().find(|s| s.call.is_some())
+                        && s.at + self.timeout <= now
+                    {
+                        let call = s.call.take();
+                        self.tell(call, Outcome::TimedOut, 0.0).await;
+                    }
+                    let oldest = stream.sent.front().map(|s| s.at);
+                    if oldest.is_some_and(|at| at.max(stream.heard) + SILENT <= now) {
+                        return Some(Error::new(ErrorKind::TimedOut, "silent"));
+                    }
+                    let next = stream.sent.iter().find(|s| s.call.is_some()).map(|s| s.at + self.timeout);
+                    let next = next.or(oldest.map(|at| at.max(stream.heard) + SILENT));
+                    armed = next.is_some();
+                    next.into_iter().for_each(|at| due.as_mut().reset(self.clock.instant(at)));
+                }
+            }
+        }
+    }
+
+    async fn tell(&self, call: Option<Call>, outcome: Outcome, total: f64) {
+        let Some(Call { name, at, .. }) = call else { return };
+        let latency = self.clock.now().saturating_sub(at);
+        self.module.send(module::Mail::Total { name, outcome, total, latency }).await.ok();
+    }
+}
+
+fn read(socket: &TcpStream, into: &mut Vec<u8>) -> Result<(), Error> {
+    match socket.try_read_buf(into) {
+        Ok(0) => Err(ErrorKind::UnexpectedEof.into()),
+        Ok(_) => Ok(()),
+        Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(()),
+        Err(e) => Err(e),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/life.rs
@@ -0,0 +1,158 @@
+//! The program's phases, from start to exit, as the named states of one object.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use damsonbeam::Rules;
+use damsonbeam::interface::ListForm;
+use tokio::net::{TcpSocket, UdpSocket};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::backends::Fleet;
+use crate::clients::Clients;
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::counter::Counter;
+use crate::list::{List, Numbers};
+use crate::log::log;
+use crate::module::{Mail, Module, State};
+use crate::peers::Peers;
+
+/// Room in the mailboxes: the module's for all that its peers can have on the way, a peer's for a burst.
+const MODULE_ROOM: usize = 4096;
+const PEER_ROOM: usize = 1024;
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// New connections come for up to 0.4 s after SIGTERM; what comes within 0.7 s of it must be answered.
+const ACCEPT_ON: Duration = Duration::from_millis(700);
+/// While the last answers go out.
+const LOOK: Duration = Duration::from_millis(10);
+/// Part of the time after which the platform closes an idle connection, by which ours are closed.
+const IDLE_PART: (u32, u32) = (3, 4);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// Reads its configuration, binds its sockets, starts its actors.
+    Starting,
+    /// Takes invocations; `/up` says so.
+    Serving,
+    /// SIGTERM came: goes on accepting, each answer ends its connection.
+    Draining,
+    /// Accepts nothing more, owes the last answers.
+    Finishing,
+    Ended,
+}
+
+pub struct Life {
+    stage: Cell<Stage>,
+}
+
+/// What runs from one stage to the next.
+struct Running {
+    clients: Rc<Clients>,
+    owed: Rc<Cell<usize>>,
+    accepting: JoinHandle<()>,
+    terminate: Signal,
+}
+
+impl Life {
+    pub fn new() -> Rc<Self> {
+        Rc::new(Life { stage: Cell::new(Stage::Starting) })
+    }
+
+    pub fn stage(&self) -> Stage {
+        self.stage.get()
+    }
+
+    fn enter(&self, stage: Stage, name: &str) {
+        self.stage.set(stage);
+        log!("stage", "{name}: {stage:?}");
+    }
+
+    /// From start to exit.
+    pub async fn run(self: Rc<Self>, config: Config) -> Result<(), String> {
+        let name = config.name.clone();
+        let mut running = self.start(config).await?;
+        self.enter(Stage::Serving, &name);
+        running.terminate.recv().await;
+        self.enter(Stage::Draining, &name);
+        sleep_until(Instant::now() + ACCEPT_ON).await;
+        self.enter(Stage::Finishing, &name);
+        running.accepting.abort();
+        running.clients.close();
+        // Every invocation ends by its client's time, so this does too.
+        while running.owed.get() > 0 || running.clients.open() > 0 {
+            sleep(LOOK).await;
+        }
+        self.enter(Stage::Ended, &name);
+        Ok(())
+    }
+
+    async fn start(self: &Rc<Self>, config: Config) -> Result<Running, String> {
+        let terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+        let clock = Clock::start();
+        let (to_module, mailbox) = mpsc::channel(MODULE_ROOM);
+        let (limits, facts) = (&config.settings.limits, config.facts);
+        let fleet = Rc::new(Fleet {
+            connect_timeout: limits.connect_timeout,
+            keep: Duration::from_nanos(facts.ceilings.conn_idle_ns) * IDLE_PART.0 / IDLE_PART.1,
+            reports: facts.report.names.clone(),
+            most: config.backends,
+            open: Rc::default(),
+            module: to_module.clone(),
+        });
+        let counter = config.settings.counter.as_ref().zip(config.counter).map(|(set, at)| {
+            let (to, mailbox) = mpsc::channel(PEER_ROOM);
+            let (timeout, connect_timeout) = (set.timeout, limits.connect_timeout);
+            let counter = Counter { at, timeout, connect_timeout, clock, module: to_module.clone(), mailbox };
+            tokio::task::spawn_local(counter.run());
+            to
+        });
+        let peers = match config.peer_listen.filter(|_| limits.tell) {
+            None => None,
+            Some(at) => {
+                let (to, mailbox) = mpsc::channel(PEER_ROOM);
+                let socket = UdpSocket::bind(at).await.map_err(|e| format!("peer_listen: {at}: {e}"))?;
+                let (peers, all) = (config.peers, config.peers_all);
+                tokio::task::spawn_local(
+                    Peers { socket, peers, all, module: to_module.clone(), mailbox }.run(),
+                );
+                Some(to)
+            }
+        };
+        let clients = Rc::new(Clients::new(&facts, config.clients, clock, self.clone(), to_module.clone()));
+        let mut numbers = Numbers::new(facts.dcs, facts.kinds);
+        let known = numbers.listed(config.known, ListForm::Restored);
+        let (to_list, list_mailbox) = mpsc::channel(PEER_ROOM);
+        let owed = Rc::<Cell<usize>>::default();
+        let mode = config.settings.discovery;
+        let module = Module {
+            rules: Rules::new(config.seed, config.settings, clock.now()),
+            clock,
+            mailbox,
+            fleet,
+            counter,
+            list: to_list,
+            peers,
+            owed: owed.clone(),
+            state: State::default(),
+        };
+        to_module.send(Mail::Listed(known)).await.map_err(|e| e.to_string())?;
+        tokio::task::spawn_local(module.run());
+        let list = List { at: config.discovery, numbers, mode, module: to_module, mailbox: list_mailbox };
+        tokio::task::spawn_local(list.run());
+        let listener = (|| {
+            let socket = if config.listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+            socket.set_reuseaddr(true)?;
+            socket.bind(config.listen)?;
+            socket.listen(BACKLOG)
+        })();
+        let listener = listener.map_err(|e| format!("listen: {}: {e}", config.listen))?;
+        let accepting = tokio::task::spawn_local(clients.clone().accept(listener));
+        Ok(Running { clients, owed, accepting, terminate })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/list.rs
@@ -0,0 +1,220 @@
+//! The list of backends: discovery's messages, and the actor that keeps a watch on it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use damsonbeam::interface::{Discovery, Entry, Health, ListForm, TgtId};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+use crate::log::log;
+use crate::module;
+
+/// How long a watch may wait, and what is given it beyond before it is held for lost.
+const HOLD: Duration = Duration::from_secs(20);
+const BEYOND: Duration = Duration::from_secs(1);
+/// A call that need not wait is answered at once, or not at all.
+const PROMPT: Duration = Duration::from_secs(1);
+/// After a failed call: within the 200 ms in which a watch continues.
+const AGAIN: Duration = Duration::from_millis(100);
+const BYTES: usize = 4 << 20;
+
+#[derive(Deserialize, Default, Clone)]
+pub struct Page {
+    pub revision: u64,
+    pub complete: bool,
+    pub members: Vec<Member>,
+}
+
+#[derive(Deserialize, Clone)]
+pub struct Member {
+    pub id: String,
+    pub host_port: SocketAddr,
+    #[serde(default)]
+    pub locality: String,
+    #[serde(default)]
+    pub flavor: String,
+    #[serde(default)]
+    pub cell: u32,
+    pub phase: String,
+    #[serde(default = "one")]
+    pub size: f64,
+    #[serde(default)]
+    pub up_since_ms: u64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// A list as the module takes it, with where each backend is reached.
+pub struct Listed {
+    pub form: ListForm,
+    pub entries: Arc<[Entry]>,
+    pub addrs: Vec<SocketAddr>,
+}
+
+/// Numbers for the names that discovery uses.
+pub struct Numbers {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    ids: HashMap<String, TgtId>,
+    taken: HashMap<TgtId, ()>,
+}
+
+impl Numbers {
+    pub fn new(zones: Vec<String>, kinds: Vec<String>) -> Self {
+        Numbers { zones, kinds, ids: HashMap::new(), taken: HashMap::new() }
+    }
+
+    /// The same at every gateway: made from the id alone, but for the rare two that fall together.
+    fn tgt(&mut self, id: &str) -> TgtId {
+        if let Some(known) = self.ids.get(id) {
+            return *known;
+        }
+        let step = |h: u32, b: u8| (h ^ u32::from(b)).wrapping_mul(0x0100_0193); // FNV-1a
+        let mut tgt = TgtId(id.bytes().fold(0x811c_9dc5, step));
+        while self.taken.insert(tgt, ()).is_some() {
+            tgt.0 = tgt.0.wrapping_add(1);
+        }
+        self.ids.insert(id.to_owned(), tgt);
+        tgt
+    }
+
+    pub fn listed(&mut self, page: Page, form: ListForm) -> Listed {
+        let place = |names: &[String], name: &str| {
+            // A name that the settings lack is a place of its own, not the first one's.
+            names.iter().position(|n| n == name).unwrap_or(names.len()) as u32
+        };
+        let addrs = page.members.iter().map(|m| m.host_port).collect();
+        let entry = |m: Member| Entry {
+            tgt: self.tgt(&m.id),
+            health: match m.phase.as_str() {
+                "active" => Health::Up,
+                "left" => Health::Gone,
+                // An unlisted phase is no promise that it takes work.
+                _ => Health::Draining,
+            },
+            since: Duration::from_millis(m.up_since_ms),
+            kind: place(&self.kinds, &m.flavor),
+            zone: place(&self.zones, &m.locality),
+            cell: m.cell,
+            weight: m.size,
+        };
+        Listed { form, entries: page.members.into_iter().map(entry).collect(), addrs }
+    }
+}
+
+pub enum Mail {
+    Watch { on: bool },
+    Fetch,
+}
+
+pub struct List {
+    pub at: SocketAddr,
+    pub numbers: Numbers,
+    pub mode: Discovery,
+    pub module: mpsc::Sender<module::Mail>,
+    pub mailbox: mpsc::Receiver<Mail>,
+}
+
+impl List {
+    pub async fn run(mut self) {
+        let mut watching = self.mode == Discovery::Pushed;
+        let mut link: Option<SendRequest<Empty<Bytes>>> = None;
+        let mut from: Option<u64> = None;
+        loop {
+            if !watching {
+                match self.mailbox.recv().await {
+                    None => return,
+                    Some(Mail::Watch { on }) => watching = on,
+                    Some(Mail::Fetch) => {}
+                }
+                from = None;
+            }
+            let (path, patience) = match from {
+                None => ("/discovery/hosts".to_owned(), PROMPT),
+                Some(v) => {
+                    let hold = HOLD.as_millis();
+                    (format!("/discovery/hosts?from={v}&hold_ms={hold}"), HOLD + BEYOND)
+                }
+            };
+            let call = timeout(patience, get(&mut link, self.at, &path));
+            tokio::pin!(call);
+            let answer = loop {
+                tokio::select! {
+                    answer = &mut call => break Some(answer),
+                    mail = self.mailbox.recv() => match mail {
+                        None => return,
+                        Some(Mail::Watch { on: false }) if self.mode == Discovery::Subscribed => break None,
+                        Some(_) => {}
+                    }
+                }
+            };
+            match answer {
+                Some(Ok(Ok(page))) => {
+                    from = Some(page.revision);
+                    // Only what says that it is complete is: backends absent from it are gone.
+                    let form = if page.complete { ListForm::Replace } else { ListForm::Update };
+                    if page.complete || !page.members.is_empty() {
+                        let listed = self.numbers.listed(page, form);
+                        if self.module.send(module::Mail::Listed(listed)).await.is_err() {
+                            return;
+                        }
+                    }
+                }
+                None => watching = false,
+                Some(failed) => {
+                    let why = failed.map_or("no answer".to_owned(), |r| r.err().unwrap_or_default());
+                    log!("list-unavailable", "{}: {why}; the last list stays", self.at);
+                    if self.mode == Discovery::Subscribed {
+                        watching = false;
+                        let none = Listed { form: ListForm::Unavailable, entries: [].into(), addrs: vec![] };
+                        if self.module.send(module::Mail::Listed(none)).await.is_err() {
+                            return;
+                        }
+                    } else {
+                        sleep(AGAIN).await;
+                    }
+                }
+            }
+        }
+    }
+}
+
+async fn get(
+    link: &mut Option<SendRequest<Empty<Bytes>>>,
+    at: SocketAddr,
+    path: &str,
+) -> Result<Page, String> {
+    let mut send = match link.take().filter(|l| !l.is_closed()) {
+        Some(send) => send,
+        None => {
+            let stream = TcpStream::connect(at).await.map_err(|e| e.to_string())?;
+            stream.set_nodelay(true).map_err(|e| e.to_string())?;
+            let (send, conn) = handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+            tokio::task::spawn_local(async move { conn.await.ok() });
+            send
+        }
+    };
+    send.ready().await.map_err(|e| e.to_string())?;
+    let request = Request::get(path).header(HOST, at.to_string()).body(Empty::new());
+    let answer = send.send_request(request.map_err(|e| e.to_string())?).await.map_err(|e| e.to_string())?;
+    let status = answer.status();
+    let body = Limited::new(answer.into_body(), BYTES).collect().await.map_err(|e| e.to_string())?;
+    if status != StatusCode::OK {
+        return Err(format!("status {status}"));
+    }
+    *link = Some(send);
+    serde_json::from_slice(&body.to_bytes()).map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/crates/gateway/src/main.rs
@@ -0,0 +1,33 @@
+//! The gateway on sockets. It carries events to the module and its actions out, and decides nothing.
+
+mod backends;
+mod clients;
+mod clock;
+mod config;
+mod counter;
+mod life;
+mod list;
+mod log;
+mod module;
+mod peers;
+
+use std::process::ExitCode;
+
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+
+fn run() -> Result<(), String> {
+    let config = config::Config::read()?;
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| format!("runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, life::Life::new().run(config))
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(what) => {
+            eprintln!("damsonbeam: {}", what.replace('\n', " "));
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/module.rs
@@ -0,0 +1,313 @@
+//! The module's actor: owns the rules, feeds them events in order of arrival, carries out their actions.
+
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use damsonbeam::Rules;
+use damsonbeam::interface::*;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::sleep_until;
+
+use crate::backends::{self, Ask, Backend, Done, Fleet, Job, Line};
+use crate::clients::Answer;
+use crate::clock::Clock;
+use crate::counter::Call;
+use crate::list::{self, Listed};
+use crate::log::log;
+use crate::peers;
+
+/// Events taken from the mailbox at a time.
+const BATCH: usize = 64;
+/// Room in a backend's mailbox: more deliveries than a backend's places at any time.
+const JOBS: usize = 256;
+
+pub enum Mail {
+    Listed(Listed),
+    Invocation { told: Invocation, ask: Rc<Ask>, answer: oneshot::Sender<Answer> },
+    Left { inv: InvId },
+    Done(Done),
+    Total { name: String, outcome: Outcome, total: f64, latency: Duration },
+    Peer { from: GatewayId, bytes: Vec<u8> },
+}
+
+/// An invocation that is not over, or that has deliveries out.
+struct Held {
+    ask: Rc<Ask>,
+    deadline: Duration,
+    answer: Option<oneshot::Sender<Answer>>,
+    deliveries: Vec<Option<Out>>,
+}
+
+/// A delivery that is out.
+struct Out {
+    tgt: TgtId,
+    sent: Duration,
+    line: Rc<Line>,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Token(String),
+    Delivery(InvId, DeliveryNo),
+}
+
+struct Peer {
+    at: SocketAddr,
+    mailbox: mpsc::Sender<backends::Mail>,
+}
+
+pub struct Module {
+    pub rules: Rules,
+    pub clock: Clock,
+    pub mailbox: mpsc::Receiver<Mail>,
+    pub fleet: Rc<Fleet>,
+    pub counter: Option<mpsc::Sender<Call>>,
+    pub list: mpsc::Sender<list::Mail>,
+    pub peers: Option<mpsc::Sender<peers::Mail>>,
+    /// Invocations whose final answer is owed.
+    pub owed: Rc<Cell<usize>>,
+    pub state: State,
+}
+
+#[derive(Default)]
+pub struct State {
+    held: HashMap<InvId, Held>,
+    backends: BTreeMap<TgtId, Peer>,
+    due: BTreeSet<(Duration, Due)>,
+    /// Events that actions gave rise to.
+    next: VecDeque<Event>,
+}
+
+impl Module {
+    pub async fn run(mut self) {
+        let wake = sleep_until(self.clock.instant(Duration::ZERO));
+        tokio::pin!(wake);
+        let mut armed: Option<Duration> = None;
+        let mut batch = Vec::with_capacity(BATCH);
+        loop {
+            let next = self.state.due.first().map(|(at, _)| *at);
+            if let Some(at) = next.filter(|_| next != armed) {
+                wake.as_mut().reset(self.clock.instant(at));
+            }
+            armed = next;
+            tokio::select! {
+                biased;
+                n = self.mailbox.recv_many(&mut batch, BATCH) => {
+                    if n == 0 {
+                        return;
+                    }
+                    batch.drain(..).for_each(|mail| self.mail(mail));
+                }
+                () = &mut wake, if armed.is_some() => armed = None,
+            }
+            self.run_due();
+        }
+    }
+
+    fn run_due(&mut self) {
+        let now = self.clock.now();
+        while self.state.due.first().is_some_and(|(at, _)| *at <= now) {
+            match self.state.due.pop_first().expect("seen above").1 {
+                Due::Token(token) => self.feed(Event::Timer { token }),
+                Due::Delivery(inv, no) => {
+                    if let Some(out) = self.end(inv, no) {
+                        out.line.give_up();
+                        self.outcome(inv, no, out, Outcome::TimedOut, false, vec![]);
+                    }
+                }
+            }
+        }
+    }
+
+    fn mail(&mut self, mail: Mail) {
+        match mail {
+            Mail::Invocation { told, ask, answer } => {
+                let held =
+                    Held { ask, deadline: told.deadline, answer: Some(answer), deliveries: Vec::new() };
+                self.state.held.insert(told.inv, held);
+                self.owed.set(self.owed.get() + 1);
+                self.feed(Event::Invocation(told));
+            }
+            Mail::Left { inv } => {
+                if self.state.held.get_mut(&inv).and_then(|h| h.answer.take()).is_some() {
+                    self.owed.set(self.owed.get() - 1);
+                    self.feed(Event::Left { inv });
+                    self.tidy(inv);
+                }
+            }
+            Mail::Done(Done { inv, no, outcome, reply, report }) => {
+                // One that was given up has had its outcome.
+                let Some(out) = self.end(inv, no) else { return };
+                if let Some(reply) = reply {
+                    self.answer(inv, Answer::Succeeded(reply));
+                }
+                let closed = self.state.held.get(&inv).is_none_or(|h| h.answer.is_none());
+                self.outcome(inv, no, out, outcome, closed, report);
+            }
+            Mail::Total { name, outcome, total, latency } => {
+                self.feed(Event::Total { name, outcome, total, latency });
+            }
+            Mail::Listed(listed) => self.listed(listed),
+            Mail::Peer { from, bytes } => self.feed(Event::Peer { from, bytes }),
+        }
+    }
+
+    /// Backends have an actor from the first list that names them to the one that has them gone.
+    fn listed(&mut self, Listed { form, entries, addrs }: Listed) {
+        if matches!(form, ListForm::Replace | ListForm::Restored) {
+            let named: BTreeSet<TgtId> = entries.iter().map(|e| e.tgt).collect();
+            self.state.backends.retain(|tgt, _| named.contains(tgt));
+        }
+        for (e, at) in entries.iter().zip(addrs) {
+            if e.health == Health::Gone {
+                self.state.backends.remove(&e.tgt);
+            } else if self.state.backends.get(&e.tgt).is_none_or(|b| b.at != at) {
+                let (to, mailbox) = mpsc::channel(JOBS);
+                let backend = Backend { at, fleet: self.fleet.clone(), mailbox };
+                tokio::task::spawn_local(backend.run());
+                self.state.backends.insert(e.tgt, Peer { at, mailbox: to });
+            }
+        }
+        self.feed(Event::Targets { form, entries });
+    }
+
+    /// Takes a delivery off those out.
+    fn end(&mut self, inv: InvId, no: DeliveryNo) -> Option<Out> {
+        self.state.held.get_mut(&inv)?.deliveries.get_mut(no.0 as usize)?.take()
+    }
+
+    fn outcome(
+        &mut self,
+        inv: InvId,
+        no: DeliveryNo,
+        out: Out,
+        outcome: Outcome,
+        closed: bool,
+        report: Report,
+    ) {
+        let latency = self.clock.now().saturating_sub(out.sent);
+        let (used, true_units) = (None, None);
+        let tgt = out.tgt;
+        self.feed(Event::Outcome { inv, no, tgt, outcome, latency, closed, used, true_units, report });
+        self.tidy(inv);
+    }
+
+    /// Forgets an invocation that is over and has nothing out.
+    fn tidy(&mut self, inv: InvId) {
+        let over = |h: &Held| h.answer.is_none() && h.deliveries.iter().all(Option::is_none);
+        if self.state.held.get(&inv).is_some_and(over) {
+            self.state.held.remove(&inv);
+        }
+    }
+
+    fn answer(&mut self, inv: InvId, answer: Answer) {
+        if let Some(to) = self.state.held.get_mut(&inv).and_then(|h| h.answer.take()) {
+            self.owed.set(self.owed.get() - 1);
+            to.send(answer).ok();
+        }
+    }
+
+    /// Hands the rules an event, and those that their actions give rise to.
+    pub fn feed(&mut self, event: Event) {
+        let mut event = Some(event);
+        while let Some(now) = event.take() {
+            for action in self.rules.on(self.clock.now(), now) {
+                self.carry_out(action);
+            }
+            event = self.state.next.pop_front();
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Deliver { inv, tgt, timeout } => self.deliver(inv, tgt, timeout),
+            Action::Cancel { inv, no } => {
+                if let Some(out) = self.end(inv, no) {
+                    out.line.give_up();
+                    self.owe_outcome(inv, no, out, Outcome::Canceled);
+                    self.tidy(inv);
+                }
+            }
+            Action::Throttle { inv, retry_after } => {
+                self.answer(inv, Answer::Throttled(retry_after));
+                self.tidy(inv);
+            }
+            Action::Error { inv } => {
+                self.answer(inv, Answer::Errored);
+                self.tidy(inv);
+            }
+            Action::Timer { after, token } => {
+                self.state.due.insert((self.clock.now() + after, Due::Token(token)));
+            }
+            Action::Count { name, add, keep } => {
+                let call = Call { name, add, keep, at: self.clock.now() };
+                let left = match &self.counter {
+                    Some(counter) => counter.try_send(call).err().map(|e| e.into_inner()),
+                    None => Some(call),
+                };
+                if let Some(Call { name, .. }) = left {
+                    log!("counter-crowded", "a call not sent");
+                    let (outcome, latency) = (Outcome::Full, Duration::ZERO);
+                    self.state.next.push_back(Event::Total { name, outcome, total: 0.0, latency });
+                }
+            }
+            Action::CloseIdle { tgt } => {
+                if let Some(b) = self.state.backends.get(&tgt) {
+                    b.mailbox.try_send(backends::Mail::CloseIdle).ok();
+                }
+            }
+            Action::Probe { tgt } => {
+                // The platform's protocol has no probes.
+                let (outcome, latency, report) = (Outcome::Ignored, Duration::ZERO, vec![]);
+                self.state.next.push_back(Event::Probed { tgt, outcome, latency, report });
+            }
+            Action::Tell { to, bytes } => {
+                if let Some(peers) = &self.peers {
+                    peers.try_send(peers::Mail { to, bytes }).ok();
+                }
+            }
+            Action::Watch { on } => {
+                self.list.try_send(list::Mail::Watch { on }).ok();
+            }
+            Action::Fetch => {
+                self.list.try_send(list::Mail::Fetch).ok();
+            }
+            Action::Log { text } => log!("module", "{text}"),
+        }
+    }
+
+    fn owe_outcome(&mut self, inv: InvId, no: DeliveryNo, out: Out, outcome: Outcome) {
+        let closed = self.state.held.get(&inv).is_none_or(|h| h.answer.is_none());
+        let latency = self.clock.now().saturating_sub(out.sent);
+        let (tgt, used, true_units, report) = (out.tgt, None, None, vec![]);
+        let event = Event::Outcome { inv, no, tgt, outcome, latency, closed, used, true_units, report };
+        self.state.next.push_back(event);
+    }
+
+    fn deliver(&mut self, inv: InvId, tgt: TgtId, timeout: Option<Duration>) {
+        let now = self.clock.now();
+        let Some(held) = self.state.held.get_mut(&inv) else { return };
+        let no = DeliveryNo(held.deliveries.len() as u32);
+        let line = Rc::<Line>::default();
+        let out = Out { tgt, sent: now, line: line.clone() };
+        let left = held.deadline.saturating_sub(now);
+        if held.answer.is_none() || left.is_zero() {
+            held.deliveries.push(None);
+            return self.owe_outcome(inv, no, out, Outcome::Ignored);
+        }
+        let wait = timeout.map_or(left, |t| t.min(left));
+        let job = Job { inv, no, ask: held.ask.clone(), wait, line };
+        let sent = self.state.backends.get(&tgt);
+        if sent.is_some_and(|b| b.mailbox.try_send(backends::Mail::Deliver(job)).is_ok()) {
+            held.deliveries.push(Some(out));
+            self.state.due.insert((now + wait, Due::Delivery(inv, no)));
+        } else {
+            held.deliveries.push(None);
+            log!("backend-crowded", "a delivery not sent");
+            self.owe_outcome(inv, no, out, Outcome::ConnectFailed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,57 @@
+//! The other gateways: short datagrams, late or never.
+
+use std::net::SocketAddr;
+
+use damsonbeam::interface::GatewayId;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::log::log;
+use crate::module;
+
+/// A longer datagram breaks the platform's rules.
+pub const MOST: usize = 256;
+
+pub struct Mail {
+    pub to: Option<GatewayId>,
+    pub bytes: Vec<u8>,
+}
+
+pub struct Peers {
+    pub socket: UdpSocket,
+    pub peers: Vec<SocketAddr>,
+    pub all: Option<SocketAddr>,
+    pub module: mpsc::Sender<module::Mail>,
+    pub mailbox: mpsc::Receiver<Mail>,
+}
+
+impl Peers {
+    pub async fn run(mut self) {
+        let mut bytes = [0; MOST + 1];
+        loop {
+            tokio::select! {
+                mail = self.mailbox.recv() => {
+                    let Some(Mail { to, bytes }) = mail else { return };
+                    let at = match to {
+                        Some(g) => self.peers.get(g.0 as usize).copied(),
+                        None => self.all,
+                    };
+                    if bytes.len() > MOST {
+                        log!("peer-message-too-long", "{} bytes, not sent", bytes.len());
+                    } else if let Some(at) = at {
+                        self.socket.send_to(&bytes, at).await.ok();
+                    }
+                }
+                Ok((n, sender)) = self.socket.recv_from(&mut bytes) => {
+                    let from = self.peers.iter().position(|p| *p == sender);
+                    if let Some(from) = from.filter(|_| n <= MOST) {
+                        let (from, bytes) = (GatewayId(from as u32), bytes[..n].to_vec());
+                        if self.module.send(module::Mail::Peer { from, bytes }).await.is_err() {
+                            return;
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
