--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -67,11 +67,13 @@
     pub report: Report,
 }
 
+type Socket = RefCell<TcpStream>;
+
 /// A delivery's hold on its connection, by which it is given up.
 #[derive(Default)]
 pub struct Line {
     over: Cell<bool>,
-    socket: RefCell<Weak<TcpStream>>,
+    socket: RefCell<Weak<Socket>>,
 }
 
 impl Line {
@@ -79,7 +81,7 @@
     pub fn give_up(&self) {
         self.over.set(true);
         if let Some(socket) = self.socket.borrow().upgrade() {
-            SockRef::from(&*socket).shutdown(Shutdown::Both).ok();
+            SockRef::from(&*socket.borrow()).shutdown(Shutdown::Both).ok();
         }
     }
 }
@@ -121,7 +123,7 @@
 
 /// A connection as hyper drives it. Deliveries only borrow the socket, so it closes when hyper lets it go.
 struct Wire {
-    socket: Rc<TcpStream>,
+    socket: Rc<Socket>,
     meter: Rc<Meter>,
     _open: Open,
 }
@@ -144,44 +146,29 @@
 
 impl AsyncRead for Wire {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.socket.poll_read_ready(cx))?;
-            match self.socket.try_read_buf(buf) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                done => return Poll::Ready(done.map(|_| ())),
-            }
-        }
+        Pin::new(&mut *self.socket.borrow_mut()).poll_read(cx, buf)
     }
 }
 
 impl AsyncWrite for Wire {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.socket.poll_write_ready(cx))?;
-            match self.socket.try_write(bytes) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                done => {
-                    if let Ok(n) = done {
-                        self.meter.wrote(&bytes[..n]);
-                    }
-                    return Poll::Ready(done);
-                }
-            }
-        }
+        let n = ready!(Pin::new(&mut *self.socket.borrow_mut()).poll_write(cx, bytes))?;
+        self.meter.wrote(&bytes[..n]);
+        Poll::Ready(Ok(n))
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.socket).shutdown(Shutdown::Write))
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.socket.borrow_mut()).poll_shutdown(cx)
     }
 }
 
 struct Conn {
     send: SendRequest<Full<Bytes>>,
-    socket: Weak<TcpStream>,
+    socket: Weak<Socket>,
     meter: Rc<Meter>,
 }
 
@@ -260,7 +247,7 @@
         Err(_) => return Err("no connection in time".into()),
     };
     socket.set_nodelay(true).map_err(|e| e.to_string())?;
-    let (socket, meter) = (Rc::new(socket), Rc::<Meter>::default());
+    let (socket, meter) = (Rc::new(RefCell::new(socket)), Rc::<Meter>::default());
     let wire = Wire { socket: socket.clone(), meter: meter.clone(), _open: open };
     let (send, conn) = handshake(TokioIo::new(wire)).await.map_err(|e| e.to_string())?;
     tokio::task::spawn_local(async move { conn.await.ok() });
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -168,7 +168,14 @@
         }
         let [Some(units), Some(spread), Some(first)] = weight else { return None };
         let whole = |n: f64| n.fract() == 0.0 && (0.0..f64::from(u32::MAX)).contains(&n);
-        if id.is_empty() || !known || !(units > 0.0 && units <= 1e9) || !whole(spread) || !whole(first) {
+        if id.is_empty()
+            || !known
+            || units.is_nan()
+            || units <= 0.0
+            || units > 1e9
+            || !whole(spread)
+            || !whole(first)
+        {
             return None;
         }
         let now = self.clock.now();
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use damsonbeam::interface::Outcome;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
 use tokio::time::{sleep_until, timeout};
 
@@ -62,7 +64,7 @@
         self.sent.push_back(Sent { at: call.at, call: Some(call), end: self.end });
     }
 
-    fn write(&mut self, socket: &TcpStream) -> Result<(), Error> {
+    fn write(&mut self, socket: &OwnedWriteHalf) -> Result<(), Error> {
         while !self.out.is_empty() {
             match socket.try_write(&self.out) {
                 Ok(n) => {
@@ -149,6 +151,8 @@
 
     /// Until the connection ends; none when the mailbox did.
     async fn talk(&mut self, socket: TcpStream, stream: &mut Stream) -> Option<Error> {
+        // Read by halves: a read that leaves room then knows that there is no more without asking.
+        let (mut reading, socket) = socket.into_split();
         if let Err(e) = stream.write(&socket) {
             return Some(e);
         }
@@ -158,9 +162,11 @@
         loop {
             tokio::select! {
                 biased;
-                ready = socket.readable() => {
-                    if let Err(e) = ready.and_then(|()| read(&socket, &mut stream.read)) {
-                        return Some(e);
+                read = reading.read_buf(&mut stream.read) => {
+                    match read {
+                        Ok(0) => return Some(ErrorKind::UnexpectedEof.into()),
+                        Ok(_) => {}
+                        Err(e) => return Some(e),
                     }
                     stream.heard = self.clock.now();
                     let mut from = 0;
@@ -224,12 +230,3 @@
         self.module.send(module::Mail::Total { name, outcome, total, latency }).await.ok();
     }
 }
-
-fn read(socket: &TcpStream, into: &mut Vec<u8>) -> Result<(), Error> {
-    match socket.try_read_buf(into) {
-        Ok(0) => Err(ErrorKind::UnexpectedEof.into()),
-        Ok(_) => Ok(()),
-        Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(()),
-        Err(e) => Err(e),
-    }
-}
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -13,13 +13,13 @@
 
 use std::process::ExitCode;
 
-use tokio::runtime::Builder;
-use tokio::task::LocalSet;
+use tokio::runtime::{Builder, LocalOptions};
 
 fn run() -> Result<(), String> {
     let config = config::Config::read()?;
-    let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| format!("runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, life::Life::new().run(config))
+    // One core, one thread. Tasks of a `LocalSet` would write to the poller's wake-up at each turn.
+    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
+    runtime.map_err(|e| format!("runtime: {e}"))?.block_on(life::Life::new().run(config))
 }
 
 fn main() -> ExitCode {
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -45,6 +45,7 @@
 struct Out {
     tgt: TgtId,
     sent: Duration,
+    until: Duration,
     line: Rc<Line>,
 }
 
@@ -176,7 +177,10 @@
 
     /// Takes a delivery off those out.
     fn end(&mut self, inv: InvId, no: DeliveryNo) -> Option<Out> {
-        self.state.held.get_mut(&inv)?.deliveries.get_mut(no.0 as usize)?.take()
+        let out = self.state.held.get_mut(&inv)?.deliveries.get_mut(no.0 as usize)?.take()?;
+        // Left there, it would wake the gateway for nothing.
+        self.state.due.remove(&(out.until, Due::Delivery(inv, no)));
+        Some(out)
     }
 
     fn outcome(
@@ -292,13 +296,13 @@
         let Some(held) = self.state.held.get_mut(&inv) else { return };
         let no = DeliveryNo(held.deliveries.len() as u32);
         let line = Rc::<Line>::default();
-        let out = Out { tgt, sent: now, line: line.clone() };
         let left = held.deadline.saturating_sub(now);
+        let wait = timeout.map_or(left, |t| t.min(left));
+        let out = Out { tgt, sent: now, until: now + wait, line: line.clone() };
         if held.answer.is_none() || left.is_zero() {
             held.deliveries.push(None);
             return self.owe_outcome(inv, no, out, Outcome::Ignored);
         }
-        let wait = timeout.map_or(left, |t| t.min(left));
         let job = Job { inv, no, ask: held.ask.clone(), wait, line };
         let sent = self.state.backends.get(&tgt);
         if sent.is_some_and(|b| b.mailbox.try_send(backends::Mail::Deliver(job)).is_ok()) {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -693,10 +693,7 @@
     }
 
     fn enqueue(&mut self, id: InvId) {
-        if self.pressed(id) {
-            return self.throttle(id);
-        }
-        self.stand(id, self.objective(&self.invs[&id]));
+        if self.pressed(id) { self.throttle(id) } else { self.stand(id, self.objective(&self.invs[&id])) }
     }
 
     /// Stands in line until it could not be answered by `until` any more.
@@ -781,14 +778,11 @@
 
     fn pump(&mut self) {
         let (mut next, mut misses) = (self.line.first().copied(), 0);
-        while let Some((at, id)) = next.filter(|_| misses < 3) {
+        while let Some((at, id)) = next.filter(|_| misses < 3 && self.busy() < self.all_places()) {
             next = self.line.range((at, InvId(id.0 + 1))..).next().copied();
             if self.capped(&self.invs[&id]) {
                 continue;
             }
-            if self.busy() >= self.all_places() {
-                break;
-            }
             match self.choose(id) {
                 Some(tgt) => self.deliver(id, tgt),
                 None => misses += 1,
@@ -899,11 +893,8 @@
         let late = self.set.operations[inv.op.0].late_value > 0.0;
         let until = if late { inv.deadline } else { self.objective(inv) };
         let left = until.saturating_sub(self.now).as_secs_f64();
-        if self.tgts.values().any(|t| self.may_deliver(inv, t)) && left > self.expect(0.5, inv.op) {
-            self.stand(id, until);
-        } else {
-            self.throttle(id);
-        }
+        let can = self.tgts.values().any(|t| self.may_deliver(inv, t)) && left > self.expect(0.5, inv.op);
+        if can { self.stand(id, until) } else { self.throttle(id) }
     }
 
     /// A stream that began belongs to the client: no time runs, nothing more is sent.
@@ -913,15 +904,23 @@
         self.line.remove(&(inv.arrived, id));
     }
 
+    /// What is due, and what is over and will never be: left there, each would wake a gateway for nothing.
     fn run_due(&mut self) {
-        while let Some(&(at, due)) = self.due.first()
-            && at <= self.now
-        {
+        while let Some(&(at, due)) = self.due.first() {
+            let live = match due {
+                Due::Final(id) => self.invs.get(&id).is_some_and(|i| !i.started),
+                Due::Objective(id, at) => self.line.contains(&(at, id)),
+                Due::Copy(id) => self.invs.contains_key(&id),
+                Due::Look => !self.line.is_empty(),
+                Due::Watch => true,
+            };
+            if live && at > self.now {
+                return;
+            }
             self.due.pop_first();
             match due {
-                Due::Final(id) if self.invs.get(&id).is_some_and(|i| !i.started) => self.throttle(id),
-                Due::Objective(id, at) if self.line.contains(&(at, id)) => self.throttle(id),
-                Due::Copy(id) => self.copy(id),
+                Due::Final(id) | Due::Objective(id, _) if live => self.throttle(id),
+                Due::Copy(id) if live => self.copy(id),
                 Due::Watch => self.out.push(Action::Watch { on: true }),
                 _ => {}
             }
