--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -90,13 +90,18 @@
     /// Takes in connections until dropped.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
+            let full = self.open() >= self.most;
+            if full && self.evict() {
+                // The one that had to go gives its descriptor back first.
+                tokio::task::yield_now().await;
+            } else if self.open() >= self.most + BEYOND {
+                // Those that wait are taken already: closing one would lose what it has sent.
+                log!("clients-full", "{} connections, all with invocations", self.open());
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            }
             match listener.accept().await {
-                Ok((socket, _)) => {
-                    if self.clone().take(socket) {
-                        // The one that had to go gives its descriptor back first.
-                        tokio::task::yield_now().await;
-                    }
-                }
+                Ok((socket, _)) => self.clone().take(socket),
                 Err(e) => {
                     // Out of descriptors: asking again at once would spin, leaving would end the gateway.
                     log!("accept-failed", "{e}");
@@ -106,14 +111,9 @@
         }
     }
 
-    /// Serves a connection; whether another had to go for it.
-    fn take(self: Rc<Self>, socket: TcpStream) -> bool {
-        let evicted = self.open() >= self.most && self.evict();
-        let (open, full) = (self.open(), self.open() >= self.most);
-        if open >= self.most + BEYOND || socket.set_nodelay(true).is_err() {
-            log!("clients-full", "{open} connections, one more not taken");
-            return evicted;
-        }
+    fn take(self: Rc<Self>, socket: TcpStream) {
+        let full = self.open() >= self.most;
+        socket.set_nodelay(true).ok();
         let id = self.next.replace(self.next.get() + 1);
         let conn = Rc::new(Conn {
             busy: Cell::new(false),
@@ -143,7 +143,6 @@
             }
             self.conns.borrow_mut().remove(&id);
         });
-        evicted
     }
 
     /// Closes the connection that has been quiet longest, if one holds no invocation.
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -31,7 +31,7 @@
 /// New connections come for up to 0.4 s after SIGTERM; what comes within 0.7 s of it must be answered.
 const ACCEPT_ON: Duration = Duration::from_millis(700);
 /// How long the last known list has to do, where there is one, before invocations are taken with it.
-const LIST: Duration = Duration::from_secs(1);
+const LIST: Duration = Duration::from_millis(300);
 /// SIGKILL comes no sooner than the longest integration timeout, counted as this where it is shorter,
 /// and the time for accepting after SIGTERM; our exit comes this much before.
 const LONGEST: Duration = Duration::from_secs(3);
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -1,6 +1,6 @@
 //! The list of backends: discovery's messages, and the actor that keeps a watch on it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -69,12 +69,12 @@
     zones: Vec<String>,
     kinds: Vec<String>,
     ids: HashMap<String, TgtId>,
-    taken: HashMap<TgtId, ()>,
+    taken: HashSet<TgtId>,
 }
 
 impl Numbers {
     pub fn new(zones: Vec<String>, kinds: Vec<String>) -> Self {
-        Numbers { zones, kinds, ids: HashMap::new(), taken: HashMap::new() }
+        Numbers { zones, kinds, ids: HashMap::new(), taken: HashSet::new() }
     }
 
     /// The same at every gateway: made from the id alone, but for the rare two that fall together.
@@ -84,7 +84,7 @@
         }
         let step = |h: u32, b: u8| (h ^ u32::from(b)).wrapping_mul(0x0100_0193); // FNV-1a
         let mut tgt = TgtId(id.bytes().fold(0x811c_9dc5, step));
-        while self.taken.insert(tgt, ()).is_some() {
+        while !self.taken.insert(tgt) {
             tgt.0 = tgt.0.wrapping_add(1);
         }
         self.ids.insert(id.to_owned(), tgt);
