--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,3 +12,25 @@
 pub mod log;
 pub mod module;
 pub mod peers;
+
+use std::process::ExitCode;
+
+use tokio::runtime::{Builder, LocalOptions};
+
+fn serve() -> Result<(), String> {
+    let config = config::Config::read()?;
+    // One core, one thread. Tasks of a `LocalSet` would write to the poller's wake-up at each turn.
+    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
+    runtime.map_err(|e| format!("runtime: {e}"))?.block_on(life::Life::new().run(config))
+}
+
+/// From start to exit.
+pub fn run() -> ExitCode {
+    match serve() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(what) => {
+            log::log!("damsonbeam", "{}", what.replace('\n', " "));
+            ExitCode::FAILURE
+        }
+    }
+}
