--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -105,6 +105,7 @@
                 Err(e) => {
                     // Out of descriptors: asking again at once would spin, leaving would end the gateway.
                     log!("accept-failed", "{e}");
+                    self.evict();
                     tokio::time::sleep(PAUSE).await;
                 }
             }
--- a/crates/gateway/tests/sockets/main.rs
+++ b/crates/gateway/tests/sockets/main.rs
@@ -256,6 +256,22 @@
     drop(idle);
 }
 
+#[test]
+fn without_descriptors_a_gateway_waits_for_some() {
+    let backend = serves("");
+    let (config, list) = config(&[("s-1", backend.at)], None);
+    let at = config["listen"].as_str().unwrap().parse().unwrap();
+    let mut gateway = up(&config, Gateway { at, child: launch_with(&config, 30), list });
+    let mut many: Vec<_> = (0..100).map(|_| connect(gateway.at)).collect();
+    // Some of the hundred are let go for others; the last is served once all before it had their turn.
+    many.last_mut().unwrap().get_mut().write_all(request("/tile", "").as_bytes()).unwrap();
+    let answer = Message::read(many.last_mut().unwrap()).expect("it waits for ever");
+    assert!(matches!(answer.status(), 200 | 429), "{answer:?}");
+    drop(many);
+    assert!((0..100).any(|_| ask(gateway.at, &request("/tile", "")).status() == 200));
+    assert!(gateway.child.try_wait().unwrap().is_none());
+}
+
 #[test]
 fn a_bad_configuration_ends_with_one_line_that_names_the_key() {
     type Spoil = fn(&mut Value);
--- a/crates/gateway/tests/sockets/stand_ins.rs
+++ b/crates/gateway/tests/sockets/stand_ins.rs
@@ -199,7 +199,10 @@
 
 /// A gateway of the built program; it is there to be asked once it says that it is up.
 pub fn start(config: &Value, list: Sender<Value>) -> Gateway {
-    let mut gateway = Gateway { at: SocketAddr::from(([0; 4], 0)), child: launch(config), list };
+    up(config, Gateway { at: SocketAddr::from(([0; 4], 0)), child: launch(config), list })
+}
+
+pub fn up(config: &Value, mut gateway: Gateway) -> Gateway {
     let at: SocketAddr = config["listen"].as_str().unwrap().parse().unwrap();
     for _ in 0..500 {
         if TcpStream::connect(at).is_ok() && ask(at, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200 {
@@ -212,12 +215,18 @@
 }
 
 pub fn launch(config: &Value) -> Child {
+    launch_with(config, 1024)
+}
+
+/// With so many descriptors, whatever the configuration says.
+pub fn launch_with(config: &Value, descriptors: u32) -> Child {
     static FILES: AtomicUsize = AtomicUsize::new(0);
     let name = format!("damsonbeam-{}-{}.json", std::process::id(), FILES.fetch_add(1, Ordering::SeqCst));
     let path = std::env::temp_dir().join(name);
     std::fs::write(&path, config.to_string()).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_damsonbeam"));
-    command.env("NODE_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap()
+    let mut command = Command::new("/bin/sh");
+    let run = format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_damsonbeam"));
+    command.arg("-c").arg(run).env("NODE_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap()
 }
 
 pub fn gateway(members: &[(&str, SocketAddr)], counter: Option<SocketAddr>) -> Gateway {
