The exit waits for connections to end instead of looking; a delivery's end in one place

Life::run looked every 10 ms whether all was answered, Clients::accept every 20 ms at the cap; both wait for word now.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -65,6 +65,9 @@
     pub most: usize,
     conns: RefCell<BTreeMap<u64, Rc<Conn>>>,
     next: Cell<u64>,
+    /// Connections whose tasks still run, and the word that one ended.
+    served: Cell<usize>,
+    gone: Notify,
 }
 
 impl Clients {
@@ -84,6 +87,8 @@
             most,
             conns: RefCell::default(),
             next: Cell::new(0),
+            served: Cell::new(0),
+            gone: Notify::new(),
         }
     }
 
@@ -94,11 +99,11 @@
             if full && self.evict() {
                 // The one that had to go gives its descriptor back first.
                 tokio::task::yield_now().await;
-            } else if self.open() >= self.most + BEYOND {
+            }
+            while self.open() >= self.most + BEYOND {
                 // Those that wait are taken already: closing one would lose what it has sent.
                 log!("clients-full", "{} connections, all with invocations", self.open());
-                tokio::time::sleep(PAUSE).await;
-                continue;
+                self.gone.notified().await;
             }
             match listener.accept().await {
                 Ok((socket, _)) => self.clone().take(socket),
@@ -122,6 +127,7 @@
             close: Notify::new(),
         });
         self.conns.borrow_mut().insert(id, conn.clone());
+        self.served.set(self.served.get() + 1);
         tokio::task::spawn_local(async move {
             let invoke = Invoke { clients: self.clone() };
             let service = TowerToHyperService::new(Door { conn: conn.clone(), full, inner: invoke });
@@ -143,6 +149,8 @@
                 log!("client-malformed", "{e}");
             }
             self.conns.borrow_mut().remove(&id);
+            self.served.set(self.served.get() - 1);
+            self.gone.notify_one();
         });
     }
 
@@ -159,10 +167,17 @@
         self.conns.borrow().values().for_each(|c| c.close.notify_one());
     }
 
-    pub fn open(&self) -> usize {
+    fn open(&self) -> usize {
         self.conns.borrow().len()
     }
 
+    /// Once no connection is served any more, those let go at the cap included.
+    pub async fn all_gone(&self) {
+        while self.served.get() > 0 {
+            self.gone.notified().await;
+        }
+    }
+
     fn decode(&self, uri: &hyper::Uri, headers: &HeaderMap) -> Option<Invocation> {
         let text = |name: &str| headers.get(name)?.to_str().ok().map(str::trim);
         let operation = uri.path().trim_start_matches('/').split('/').next()?;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -11,7 +11,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::backends::Fleet;
 use crate::clients::Clients;
@@ -36,8 +36,6 @@
 /// and the time for accepting after SIGTERM; our exit comes this much before.
 const LONGEST: Duration = Duration::from_secs(3);
 const BEFORE: Duration = Duration::from_millis(20);
-/// While the last answers go out.
-const LOOK: Duration = Duration::from_millis(10);
 /// Part of the time after which the platform closes an idle connection, by which ours are closed.
 const IDLE_PART: (u32, u32) = (3, 4);
 
@@ -61,7 +59,6 @@
 /// What runs from one stage to the next.
 struct Running {
     clients: Rc<Clients>,
-    owed: Rc<Cell<usize>>,
     accepting: JoinHandle<()>,
     /// The actors without which nothing is served: the module, the list, the counter.
     actors: FuturesUnordered<JoinHandle<()>>,
@@ -103,9 +100,7 @@
         running.accepting.abort();
         running.clients.close();
         // Invocations end by their clients' time; a client that never reads its answer must not hold us.
-        while (running.owed.get() > 0 || running.clients.open() > 0) && Instant::now() < end {
-            sleep(LOOK).await;
-        }
+        timeout_at(end, running.clients.all_gone()).await.ok();
         self.enter(Stage::Ended, &name);
         Ok(())
     }
@@ -151,7 +146,6 @@
         let known = numbers.listed(config.known, ListForm::Restored);
         let (to_list, list_mailbox) = mpsc::channel(PEER_ROOM);
         let (first, listed) = oneshot::channel();
-        let owed = Rc::<Cell<usize>>::default();
         let mode = config.settings.discovery;
         let module = Module {
             rules: Rules::new(config.seed, config.settings, clock.now()),
@@ -161,7 +155,6 @@
             counter,
             list: to_list,
             peers,
-            owed: owed.clone(),
             state: State::default(),
         };
         to_module.send(Mail::Listed(known)).await.map_err(|e| e.to_string())?;
@@ -189,6 +182,6 @@
             _ = terminate.recv() => return Err("SIGTERM before there was a list of backends".into()),
             () = sleep(LIST), if some => log!("list-late", "serving with the list as last known"),
         }
-        Ok(Running { clients, owed, accepting, actors, grace, terminate })
+        Ok(Running { clients, accepting, actors, grace, terminate })
     }
 }
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -1,6 +1,5 @@
 //! The module's actor: owns the rules, feeds them events in order of arrival, carries out their actions.
 
-use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -68,8 +67,6 @@
     pub counter: Option<mpsc::Sender<Call>>,
     pub list: mpsc::Sender<list::Mail>,
     pub peers: Option<mpsc::Sender<peers::Mail>>,
-    /// Invocations whose final answer is owed.
-    pub owed: Rc<Cell<usize>>,
     pub state: State,
 }
 
@@ -116,7 +113,7 @@
                 Due::Delivery(inv, no) => {
                     if let Some(out) = self.end(inv, no) {
                         out.line.give_up();
-                        self.outcome(inv, no, out, Outcome::TimedOut, false, vec![]);
+                        self.tell(inv, no, &out, Outcome::TimedOut, vec![]);
                     }
                 }
             }
@@ -129,12 +126,10 @@
                 let held =
                     Held { ask, deadline: told.deadline, answer: Some(answer), deliveries: Vec::new() };
                 self.state.held.insert(told.inv, held);
-                self.owed.set(self.owed.get() + 1);
                 self.feed(Event::Invocation(told));
             }
             Mail::Left { inv } => {
                 if self.state.held.get_mut(&inv).and_then(|h| h.answer.take()).is_some() {
-                    self.owed.set(self.owed.get() - 1);
                     self.feed(Event::Left { inv });
                     self.tidy(inv);
                 }
@@ -145,8 +140,7 @@
                 if let Some(reply) = reply {
                     self.answer(inv, Answer::Succeeded(reply));
                 }
-                let closed = self.state.held.get(&inv).is_none_or(|h| h.answer.is_none());
-                self.outcome(inv, no, out, outcome, closed, report);
+                self.tell(inv, no, &out, outcome, report);
             }
             Mail::Total { name, outcome, total, latency } => {
                 self.feed(Event::Total { name, outcome, total, latency });
@@ -183,22 +177,26 @@
         Some(out)
     }
 
-    fn outcome(
-        &mut self,
-        inv: InvId,
-        no: DeliveryNo,
-        out: Out,
-        outcome: Outcome,
-        closed: bool,
-        report: Report,
-    ) {
+    /// How a delivery ended; the invocation is closed if its final answer has gone out.
+    fn ended(&self, inv: InvId, no: DeliveryNo, out: &Out, outcome: Outcome, report: Report) -> Event {
+        let closed = self.state.held.get(&inv).is_none_or(|h| h.answer.is_none());
         let latency = self.clock.now().saturating_sub(out.sent);
-        let (used, true_units) = (None, None);
-        let tgt = out.tgt;
-        self.feed(Event::Outcome { inv, no, tgt, outcome, latency, closed, used, true_units, report });
+        let (tgt, used, true_units) = (out.tgt, None, None);
+        Event::Outcome { inv, no, tgt, outcome, latency, closed, used, true_units, report }
+    }
+
+    fn tell(&mut self, inv: InvId, no: DeliveryNo, out: &Out, outcome: Outcome, report: Report) {
+        let event = self.ended(inv, no, out, outcome, report);
+        self.feed(event);
         self.tidy(inv);
     }
 
+    /// The same for one that ends by an action, told once all actions are carried out.
+    fn tell_next(&mut self, inv: InvId, no: DeliveryNo, out: &Out, outcome: Outcome) {
+        let event = self.ended(inv, no, out, outcome, vec![]);
+        self.state.next.push_back(event);
+    }
+
     /// Forgets an invocation that is over and has nothing out.
     fn tidy(&mut self, inv: InvId) {
         let over = |h: &Held| h.answer.is_none() && h.deliveries.iter().all(Option::is_none);
@@ -209,7 +207,6 @@
 
     fn answer(&mut self, inv: InvId, answer: Answer) {
         if let Some(to) = self.state.held.get_mut(&inv).and_then(|h| h.answer.take()) {
-            self.owed.set(self.owed.get() - 1);
             to.send(answer).ok();
         }
     }
@@ -231,7 +228,7 @@
             Action::Cancel { inv, no } => {
                 if let Some(out) = self.end(inv, no) {
                     out.line.give_up();
-                    self.owe_outcome(inv, no, out, Outcome::Canceled);
+                    self.tell_next(inv, no, &out, Outcome::Canceled);
                     self.tidy(inv);
                 }
             }
@@ -283,14 +280,6 @@
         }
     }
 
-    fn owe_outcome(&mut self, inv: InvId, no: DeliveryNo, out: Out, outcome: Outcome) {
-        let closed = self.state.held.get(&inv).is_none_or(|h| h.answer.is_none());
-        let latency = self.clock.now().saturating_sub(out.sent);
-        let (tgt, used, true_units, report) = (out.tgt, None, None, vec![]);
-        let event = Event::Outcome { inv, no, tgt, outcome, latency, closed, used, true_units, report };
-        self.state.next.push_back(event);
-    }
-
     fn deliver(&mut self, inv: InvId, tgt: TgtId, timeout: Option<Duration>) {
         let now = self.clock.now();
         let Some(held) = self.state.held.get_mut(&inv) else { return };
@@ -301,7 +290,7 @@
         let out = Out { tgt, sent: now, until: now + wait, line: line.clone() };
         if held.answer.is_none() || left.is_zero() {
             held.deliveries.push(None);
-            return self.owe_outcome(inv, no, out, Outcome::Ignored);
+            return self.tell_next(inv, no, &out, Outcome::Ignored);
         }
         let job = Job { inv, no, ask: held.ask.clone(), wait, line };
         let sent = self.state.backends.get(&tgt);
@@ -311,7 +300,7 @@
         } else {
             held.deliveries.push(None);
             log!("backend-crowded", "a delivery not sent");
-            self.owe_outcome(inv, no, out, Outcome::ConnectFailed);
+            self.tell_next(inv, no, &out, Outcome::ConnectFailed);
         }
     }
 }
