--- a/crates/gateway/tests/sockets/main.rs
+++ b/crates/gateway/tests/sockets/main.rs
@@ -202,6 +202,22 @@
     panic!("work still goes to what drains or is gone");
 }
 
+#[test]
+fn a_list_that_breaks_off_stays_and_is_asked_for_again() {
+    let (first, second) = (serves("1"), serves("2"));
+    let gateway = gateway(&[("s-1", first.at)], None);
+    gateway.list.send(Value::Null).unwrap();
+    assert_eq!(ask(gateway.at, &request("/tile", "")).body, b"1");
+    gateway.list.send(page(2, true, vec![member("s-2", second.at, "active")])).unwrap();
+    for _ in 0..1000 {
+        if ask(gateway.at, &request("/tile", "")).body == b"2" {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    panic!("the list is not asked for again");
+}
+
 /// Failure found on one core: up before the list came, it throttled the first invocations.
 #[test]
 fn up_only_with_a_list_of_backends() {
--- a/crates/gateway/tests/sockets/stand_ins.rs
+++ b/crates/gateway/tests/sockets/stand_ins.rs
@@ -128,7 +128,7 @@
     (at, calls)
 }
 
-/// Discovery: the whole list, then what is sent to it, an answer to a watch each.
+/// Discovery: the whole list, then what is sent to it, an answer to a watch each; null breaks the connection.
 fn discovery(whole: Value, changes: Receiver<Value>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let at = listener.local_addr().unwrap();
@@ -139,6 +139,9 @@
                 let page =
                     if request.first.contains("from=") { changes.recv().ok() } else { Some(whole.clone()) };
                 let Some(page) = page else { return };
+                if page.is_null() {
+                    break;
+                }
                 out.write_all(answer("200 OK", &page.to_string()).as_bytes()).ok();
             }
         }
