--- a/crates/gateway/tests/sockets/main.rs
+++ b/crates/gateway/tests/sockets/main.rs
@@ -129,6 +129,25 @@
     panic!("the counter is not asked again");
 }
 
+#[test]
+fn a_counter_that_falls_silent_is_asked_anew() {
+    let (backend, silent) = (serves(""), std::net::TcpListener::bind("127.0.0.1:0").unwrap());
+    let (mut config, list) = config(&[("s-1", backend.at)], Some(silent.local_addr().unwrap()));
+    config["settings"]["domain"]["counter-timeout-ns"] = json!(30_000_000);
+    let gateway = start(&config, list);
+    // The first connection stays open and says nothing.
+    let asked = std::thread::spawn(move || [silent.accept().unwrap(), silent.accept().unwrap()]);
+    for n in 0..2000 {
+        let customer = format!("{:08x}", 0xb4d6_5521u32 + n);
+        assert_eq!(ask(gateway.at, &request("/tile", "").replace("b4d65521", &customer)).status(), 200);
+        if asked.is_finished() {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    panic!("the silent connection is kept");
+}
+
 #[test]
 fn another_backend_serves_what_one_turns_away_or_breaks() {
     for turns_away in [true, false] {
