SIGHUP rereads the configuration and moves list and counter to new addresses

Ruled out: memory and descriptors (1 of 48 MB, 60 of 384). At fault: life.rs asked for SIGTERM only (signal(SignalKind::terminate())), so the system's default ended the program. Now: a phase Reloading; config.rs reads and checks the whole file; the list starts a new watch with the whole list, the counter moves once its calls out have ended, so calls of a name stay in order. A faulty file is logged and changes nothing.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -242,12 +242,12 @@
         Box::pin(async move {
             let mut answer = match inner {
                 Some(inner) => inner.await?,
-                None if up && clients.life.stage() == Stage::Serving => plain(StatusCode::OK),
+                None if up && clients.life.stage().serves() => plain(StatusCode::OK),
                 None => plain(StatusCode::SERVICE_UNAVAILABLE),
             };
             conn.busy.set(false);
             conn.quiet_since.set(clients.clock.now());
-            if full || clients.life.stage() > Stage::Serving {
+            if full || clients.life.stage() >= Stage::Draining {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok(answer)
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -13,11 +13,17 @@
 const RESERVE: usize = 64;
 const SOCKETS: usize = 1024;
 
+/// What a reload can change: where others are reached.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Places {
+    pub discovery: SocketAddr,
+    pub counter: Option<SocketAddr>,
+}
+
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
-    pub counter: Option<SocketAddr>,
+    pub places: Places,
     pub peer_listen: Option<SocketAddr>,
     pub peers: Vec<SocketAddr>,
     pub peers_all: Option<SocketAddr>,
@@ -83,12 +89,12 @@
         if sockets < 4 * RESERVE {
             return Err(format!("limits.sockets: {sockets} is too few, {} at least", 4 * RESERVE));
         }
+        let discovery = addr("discovery", &given("discovery", raw.discovery, "NODE_DISCOVERY")?)?;
         let backends = (sockets - RESERVE) * 2 / 5;
         Ok(Config {
             name: given("name", raw.name, "NODE_NAME")?,
             listen: addr("listen", &given("listen", raw.listen, "NODE_LISTEN")?)?,
-            discovery: addr("discovery", &given("discovery", raw.discovery, "NODE_DISCOVERY")?)?,
-            counter,
+            places: Places { discovery, counter },
             peer_listen: some("peer_listen", &raw.peer_listen)?,
             peers: raw.peers.iter().map(|p| addr("peers", p)).collect::<Result<_, _>>()?,
             peers_all: some("peers_all", &raw.peers_all)?,
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -42,7 +42,13 @@
     pub connect_timeout: Duration,
     pub clock: Clock,
     pub module: mpsc::Sender<module::Mail>,
-    pub mailbox: mpsc::Receiver<Call>,
+    pub mailbox: mpsc::Receiver<Mail>,
+}
+
+pub enum Mail {
+    Call(Call),
+    /// It is at another address from now on.
+    Move(SocketAddr),
 }
 
 #[derive(Default)]
@@ -91,6 +97,26 @@
     }
 }
 
+/// Whether a line that has no end yet can still become an answer. Noise without an end would hold the
+/// calls behind it until the connection counts as silent.
+fn begins(line: &[u8]) -> bool {
+    let number = |b: &u8| b.is_ascii_digit() || b" +-.eE\r".contains(b);
+    let word = [b"ok ".as_slice(), b"busy\r", b"error"].iter().any(|w| w.starts_with(line));
+    word || line.starts_with(b"error") || line.strip_prefix(b"ok ").is_some_and(|n| n.iter().all(number))
+}
+
+/// Why a connection was left.
+enum Left {
+    Moved,
+    Broken(Error),
+}
+
+impl From<Error> for Left {
+    fn from(e: Error) -> Self {
+        Left::Broken(e)
+    }
+}
+
 impl Counter {
     pub async fn run(mut self) {
         // Calls that wait for a connection.
@@ -98,9 +124,11 @@
         loop {
             if waiting.is_empty() {
                 match self.mailbox.recv().await {
-                    Some(call) => waiting.push_back(call),
+                    Some(Mail::Call(call)) => waiting.push_back(call),
+                    Some(Mail::Move(at)) => self.at = at,
                     None => return,
                 }
+                continue;
             }
             match self.connect(&mut waiting).await {
                 Some(Ok(socket)) => {
@@ -108,28 +136,31 @@
                     waiting.drain(..).for_each(|call| stream.encode(call));
                     let why = self.talk(socket, &mut stream).await;
                     for s in std::mem::take(&mut stream.sent) {
+                        // What came spoilt was added, like the rest that was written may have been.
                         let written = s.end <= stream.written;
                         let outcome = if written { Outcome::TimedOut } else { Outcome::ConnectFailed };
                         self.tell(s.call, outcome, 0.0).await;
                     }
                     match why {
-                        Some(e) => log!("counter-lost", "{}: {e}", self.at),
+                        Some(Left::Broken(e)) => log!("counter-lost", "{}: {e}", self.at),
+                        Some(Left::Moved) => {}
                         None => return,
                     }
                 }
-                Some(Err(e)) => {
+                Some(Err(Left::Broken(e))) => {
                     log!("counter-unreachable", "{}: {e}", self.at);
                     for call in waiting.drain(..) {
                         self.tell(Some(call), Outcome::ConnectFailed, 0.0).await;
                     }
                 }
+                Some(Err(Left::Moved)) => {}
                 None => return,
             }
         }
     }
 
     /// Connects while calls come in and run out of time; nothing was written of those.
-    async fn connect(&mut self, waiting: &mut VecDeque<Call>) -> Option<Result<TcpStream, Error>> {
+    async fn connect(&mut self, waiting: &mut VecDeque<Call>) -> Option<Result<TcpStream, Left>> {
         let connect = timeout(self.connect_timeout, TcpStream::connect(self.at));
         tokio::pin!(connect);
         loop {
@@ -138,9 +169,15 @@
                 biased;
                 done = &mut connect => {
                     let socket = done.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
-                    return Some(socket.and_then(|s| s.set_nodelay(true).map(|()| s)));
+                    return Some(socket.and_then(|s| s.set_nodelay(true).map(|()| s)).map_err(Left::from));
                 }
-                call = self.mailbox.recv() => waiting.push_back(call?),
+                mail = self.mailbox.recv() => match mail? {
+                    Mail::Call(call) => waiting.push_back(call),
+                    Mail::Move(at) => {
+                        self.at = at;
+                        return Some(Err(Left::Moved));
+                    }
+                },
                 () = sleep_until(self.clock.instant(due.unwrap_or_default())), if due.is_some() => {
                     let call = waiting.pop_front();
                     self.tell(call, Outcome::ConnectFailed, 0.0).await;
@@ -149,49 +186,65 @@
         }
     }
 
-    /// Until the connection ends; none when the mailbox did.
-    async fn talk(&mut self, socket: TcpStream, stream: &mut Stream) -> Option<Error> {
+    /// Takes in what has come; an error where it is no answer to a call.
+    async fn hear(&self, stream: &mut Stream) -> Result<(), Error> {
+        let bad = |what| Error::new(ErrorKind::InvalidData, what);
+        let mut from = 0;
+        while let Some(n) = stream.read[from..].iter().position(|b| *b == b'\n') {
+            let (outcome, total) =
+                decode(&stream.read[from..from + n]).ok_or_else(|| bad("an answer that is none"))?;
+            from += n + 1;
+            let sent = stream.sent.pop_front().ok_or_else(|| bad("an answer to no call"))?;
+            self.tell(sent.call, outcome, total).await;
+        }
+        stream.read.drain(..from);
+        let more = !stream.read.is_empty();
+        if stream.read.len() > LINE || !begins(&stream.read) || more && stream.sent.is_empty() {
+            return Err(bad("noise"));
+        }
+        Ok(())
+    }
+
+    /// Until the connection ends, or the counter has moved and all calls out have ended; none when the
+    /// mailbox did.
+    async fn talk(&mut self, socket: TcpStream, stream: &mut Stream) -> Option<Left> {
         // Read by halves: a read that leaves room then knows that there is no more without asking.
         let (mut reading, socket) = socket.into_split();
         if let Err(e) = stream.write(&socket) {
-            return Some(e);
+            return Some(e.into());
         }
         let due = sleep_until(self.clock.instant(self.clock.now() + self.timeout));
         tokio::pin!(due);
-        let mut armed = true;
+        let (mut armed, mut moved) = (true, false);
         loop {
+            // Calls of a name are answered in their order: none goes out elsewhere before these have ended.
+            if moved && stream.sent.iter().all(|s| s.call.is_none()) {
+                return Some(Left::Moved);
+            }
             tokio::select! {
                 biased;
                 read = reading.read_buf(&mut stream.read) => {
                     match read {
-                        Ok(0) => return Some(ErrorKind::UnexpectedEof.into()),
+                        Ok(0) => return Some(Error::from(ErrorKind::UnexpectedEof).into()),
                         Ok(_) => {}
-                        Err(e) => return Some(e),
+                        Err(e) => return Some(e.into()),
                     }
                     stream.heard = self.clock.now();
-                    let mut from = 0;
-                    while let Some(n) = stream.read[from..].iter().position(|b| *b == b'\n') {
-                        let Some((outcome, total)) = decode(&stream.read[from..from + n]) else {
-                            return Some(Error::new(ErrorKind::InvalidData, "an answer that is none"));
-                        };
-                        from += n + 1;
-                        let Some(sent) = stream.sent.pop_front() else {
-                            return Some(Error::new(ErrorKind::InvalidData, "an answer to no call"));
-                        };
-                        self.tell(sent.call, outcome, total).await;
-                    }
-                    stream.read.drain(..from);
-                    if stream.read.len() > LINE {
-                        return Some(Error::new(ErrorKind::InvalidData, "an answer too long"));
+                    if let Err(e) = self.hear(stream).await {
+                        return Some(e.into());
                     }
                 }
-                call = self.mailbox.recv() => {
-                    stream.encode(call?);
-                    while let Ok(call) = self.mailbox.try_recv() {
-                        stream.encode(call);
+                mail = self.mailbox.recv(), if !moved => {
+                    let mut mail = Some(mail?);
+                    while let Some(next) = mail {
+                        match next {
+                            Mail::Call(call) => stream.encode(call),
+                            Mail::Move(at) => (self.at, moved) = (at, true),
+                        }
+                        mail = if moved { None } else { self.mailbox.try_recv().ok() };
                     }
                     if let Err(e) = stream.write(&socket) {
-                        return Some(e);
+                        return Some(e.into());
                     }
                     if !armed {
                         armed = true;
@@ -200,7 +253,7 @@
                 }
                 _ = socket.writable(), if !stream.out.is_empty() => {
                     if let Err(e) = stream.write(&socket) {
-                        return Some(e);
+                        return Some(e.into());
                     }
                 }
                 () = &mut due, if armed => {
@@ -213,7 +266,7 @@
                     }
                     let oldest = stream.sent.front().map(|s| s.at);
                     if oldest.is_some_and(|at| at.max(stream.heard) + SILENT <= now) {
-                        return Some(Error::new(ErrorKind::TimedOut, "silent"));
+                        return Some(Error::new(ErrorKind::TimedOut, "silent").into());
                     }
                     let next = stream.sent.iter().find(|s| s.call.is_some()).map(|s| s.at + self.timeout);
                     let next = next.or(oldest.map(|at| at.max(stream.heard) + SILENT));
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -16,9 +16,9 @@
 use crate::backends::Fleet;
 use crate::clients::Clients;
 use crate::clock::Clock;
-use crate::config::Config;
-use crate::counter::Counter;
-use crate::list::{List, Numbers};
+use crate::config::{Config, Places};
+use crate::counter::{self, Counter};
+use crate::list::{self, List, Numbers};
 use crate::log::log;
 use crate::module::{Mail, Module, State};
 use crate::peers::Peers;
@@ -45,6 +45,8 @@
     Starting,
     /// Takes invocations; `/up` says so.
     Serving,
+    /// SIGHUP came: reads its configuration anew and moves the list and the counter; serves all the while.
+    Reloading,
     /// SIGTERM came: goes on accepting, each answer ends its connection.
     Draining,
     /// Accepts nothing more, owes the last answers.
@@ -52,6 +54,13 @@
     Ended,
 }
 
+impl Stage {
+    /// Whether new invocations are welcome.
+    pub fn serves(self) -> bool {
+        matches!(self, Stage::Serving | Stage::Reloading)
+    }
+}
+
 pub struct Life {
     stage: Cell<Stage>,
 }
@@ -65,6 +74,10 @@
     /// From SIGTERM to the exit at the latest.
     grace: Duration,
     terminate: Signal,
+    reload: Signal,
+    places: Places,
+    list: mpsc::Sender<list::Mail>,
+    counter: Option<mpsc::Sender<counter::Mail>>,
 }
 
 impl Life {
@@ -85,10 +98,18 @@
     pub async fn run(self: Rc<Self>, config: Config) -> Result<(), String> {
         let name = config.name.clone();
         let mut running = self.start(config).await?;
-        self.enter(Stage::Serving, &name);
-        tokio::select! {
-            _ = running.terminate.recv() => {}
-            ended = running.actors.next() => return Err(format!("an actor ended: {ended:?}")),
+        loop {
+            self.enter(Stage::Serving, &name);
+            tokio::select! {
+                _ = running.terminate.recv() => break,
+                _ = running.reload.recv() => {
+                    self.enter(Stage::Reloading, &name);
+                    if let Err(why) = running.move_to(Config::read()).await {
+                        log!("reload-refused", "{why}; the old configuration stays");
+                    }
+                }
+                ended = running.actors.next() => return Err(format!("an actor ended: {ended:?}")),
+            }
         }
         self.enter(Stage::Draining, &name);
         let end = Instant::now() + running.grace;
@@ -106,9 +127,12 @@
     }
 
     async fn start(self: &Rc<Self>, config: Config) -> Result<Running, String> {
+        // SIGHUP ends a program that has not asked for it.
+        let reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
         let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
         let clock = Clock::start();
         let (to_module, mailbox) = mpsc::channel(MODULE_ROOM);
+        let places = config.places;
         let (limits, facts) = (&config.settings.limits, config.facts);
         let fleet = Rc::new(Fleet {
             connect_timeout: limits.connect_timeout,
@@ -121,7 +145,7 @@
         let actors = FuturesUnordered::new();
         let longest = config.settings.operations.iter().map(|o| o.integration_timeout).max();
         let grace = longest.unwrap_or_default().max(LONGEST) + ACCEPT_ON - BEFORE;
-        let counter = config.settings.counter.as_ref().zip(config.counter).map(|(set, at)| {
+        let counter = config.settings.counter.as_ref().zip(places.counter).map(|(set, at)| {
             let (to, mailbox) = mpsc::channel(PEER_ROOM);
             let (timeout, connect_timeout) = (set.timeout, limits.connect_timeout);
             let counter = Counter { at, timeout, connect_timeout, clock, module: to_module.clone(), mailbox };
@@ -152,15 +176,15 @@
             clock,
             mailbox,
             fleet,
-            counter,
-            list: to_list,
+            counter: counter.clone(),
+            list: to_list.clone(),
             peers,
             state: State::default(),
         };
         to_module.send(Mail::Listed(known)).await.map_err(|e| e.to_string())?;
         actors.push(tokio::task::spawn_local(module.run()));
         let list = List {
-            at: config.discovery,
+            at: places.discovery,
             numbers,
             mode,
             module: to_module,
@@ -182,6 +206,25 @@
             _ = terminate.recv() => return Err("SIGTERM before there was a list of backends".into()),
             () = sleep(LIST), if some => log!("list-late", "serving with the list as last known"),
         }
-        Ok(Running { clients, accepting, actors, grace, terminate })
+        let list = to_list;
+        Ok(Running { clients, accepting, actors, grace, terminate, reload, places, list, counter })
+    }
+}
+
+impl Running {
+    /// Moves the list and the counter where a new configuration has them elsewhere; all else in it waits
+    /// for a restart. One that is faulty changes nothing.
+    async fn move_to(&mut self, config: Result<Config, String>) -> Result<(), String> {
+        let (old, new) = (self.places, config?.places);
+        if new.discovery != old.discovery {
+            self.list.send(list::Mail::Move(new.discovery)).await.map_err(|e| e.to_string())?;
+        }
+        if let (Some(counter), Some(at)) = (&self.counter, new.counter)
+            && new.counter != old.counter
+        {
+            counter.send(counter::Mail::Move(at)).await.map_err(|e| e.to_string())?;
+        }
+        self.places = new;
+        Ok(())
     }
 }
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -69,12 +69,11 @@
     zones: Vec<String>,
     kinds: Vec<String>,
     ids: HashMap<String, TgtId>,
-    taken: HashSet<TgtId>,
 }
 
 impl Numbers {
     pub fn new(zones: Vec<String>, kinds: Vec<String>) -> Self {
-        Numbers { zones, kinds, ids: HashMap::new(), taken: HashSet::new() }
+        Numbers { zones, kinds, ids: HashMap::new() }
     }
 
     /// The same at every gateway: made from the id alone, but for the rare two that fall together.
@@ -84,7 +83,7 @@
         }
         let step = |h: u32, b: u8| (h ^ u32::from(b)).wrapping_mul(0x0100_0193); // FNV-1a
         let mut tgt = TgtId(id.bytes().fold(0x811c_9dc5, step));
-        while !self.taken.insert(tgt) {
+        while self.ids.values().any(|taken| *taken == tgt) {
             tgt.0 = tgt.0.wrapping_add(1);
         }
         self.ids.insert(id.to_owned(), tgt);
@@ -111,13 +110,30 @@
             cell: m.cell,
             weight: m.size,
         };
-        Listed { form, entries: page.members.into_iter().map(entry).collect(), addrs }
+        let stay = |m: &Member| m.phase != "left";
+        let (stay, left): (Vec<_>, Vec<_>) =
+            page.members.iter().map(|m| (m.id.clone(), stay(m))).partition(|m| m.1);
+        let entries = page.members.into_iter().map(entry).collect();
+        // Backends are replaced for ever: names that are gone must not stay, or they fill the memory.
+        if form == ListForm::Update {
+            left.iter().for_each(|(id, _)| {
+                self.ids.remove(id);
+            });
+        } else {
+            let stay: HashSet<_> = stay.into_iter().map(|(id, _)| id).collect();
+            self.ids.retain(|id, _| stay.contains(id));
+        }
+        Listed { form, entries, addrs }
     }
 }
 
 pub enum Mail {
-    Watch { on: bool },
+    Watch {
+        on: bool,
+    },
     Fetch,
+    /// It is at another address from now on.
+    Move(SocketAddr),
 }
 
 pub struct List {
@@ -141,6 +157,10 @@
                     None => return,
                     Some(Mail::Watch { on }) => watching = on,
                     Some(Mail::Fetch) => {}
+                    Some(Mail::Move(at)) => {
+                        (self.at, link) = (at, None);
+                        continue;
+                    }
                 }
                 from = None;
             }
@@ -151,18 +171,28 @@
                     (format!("/discovery/hosts?from={v}&hold_ms={hold}"), HOLD + BEYOND)
                 }
             };
-            let call = timeout(patience, get(&mut link, self.at, &path));
-            tokio::pin!(call);
+            let mut moved = None;
+            let mut call = Box::pin(timeout(patience, get(&mut link, self.at, &path)));
             let answer = loop {
                 tokio::select! {
                     answer = &mut call => break Some(answer),
                     mail = self.mailbox.recv() => match mail {
                         None => return,
                         Some(Mail::Watch { on: false }) if self.mode == Discovery::Subscribed => break None,
+                        Some(Mail::Move(at)) => {
+                            moved = Some(at);
+                            break None;
+                        }
                         Some(_) => {}
                     }
                 }
             };
+            drop(call);
+            if let Some(at) = moved {
+                // The watch begins anew with the whole list: nothing told in between may be missed.
+                (self.at, link, from) = (at, None, None);
+                continue;
+            }
             match answer {
                 Some(Ok(Ok(page))) => {
                     from = Some(page.revision);
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -13,7 +13,7 @@
 use crate::backends::{self, Ask, Backend, Done, Fleet, Job, Line};
 use crate::clients::Answer;
 use crate::clock::Clock;
-use crate::counter::Call;
+use crate::counter::{self, Call};
 use crate::list::{self, Listed};
 use crate::log::log;
 use crate::peers;
@@ -64,7 +64,7 @@
     pub clock: Clock,
     pub mailbox: mpsc::Receiver<Mail>,
     pub fleet: Rc<Fleet>,
-    pub counter: Option<mpsc::Sender<Call>>,
+    pub counter: Option<mpsc::Sender<counter::Mail>>,
     pub list: mpsc::Sender<list::Mail>,
     pub peers: Option<mpsc::Sender<peers::Mail>>,
     pub state: State,
@@ -246,10 +246,12 @@
             Action::Count { name, add, keep } => {
                 let call = Call { name, add, keep, at: self.clock.now() };
                 let left = match &self.counter {
-                    Some(counter) => counter.try_send(call).err().map(|e| e.into_inner()),
-                    None => Some(call),
+                    Some(counter) => {
+                        counter.try_send(counter::Mail::Call(call)).err().map(|e| e.into_inner())
+                    }
+                    None => Some(counter::Mail::Call(call)),
                 };
-                if let Some(Call { name, .. }) = left {
+                if let Some(counter::Mail::Call(Call { name, .. })) = left {
                     log!("counter-crowded", "a call not sent");
                     let (outcome, latency) = (Outcome::Full, Duration::ZERO);
                     self.state.next.push_back(Event::Total { name, outcome, total: 0.0, latency });
--- a/crates/gateway/tests/sockets/main.rs
+++ b/crates/gateway/tests/sockets/main.rs
@@ -2,8 +2,7 @@
 
 mod stand_ins;
 
-use std::io::{Read, Write};
-use std::process::Command;
+use std::io::{BufRead, Read, Write};
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
@@ -249,7 +248,7 @@
         assert!(gateway.child.try_wait().unwrap().is_none());
     }
     assert_eq!(ask(gateway.at, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status(), 503);
-    Command::new("kill").arg(gateway.child.id().to_string()).status().unwrap();
+    gateway.signal("-TERM");
     gateway.child.wait().unwrap();
 }
 
@@ -267,7 +266,7 @@
     let (mut held, mut idle) = (connect(gateway.at), connect(gateway.at));
     held.get_mut().write_all(request("/tile", "").as_bytes()).unwrap();
     wait(&told);
-    Command::new("kill").arg(gateway.child.id().to_string()).status().unwrap();
+    gateway.signal("-TERM");
     let answer = Message::read(&mut held).unwrap();
     assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
     // A connection that was there before, and idle, is not left hanging.
@@ -277,6 +276,49 @@
     assert!(gateway.child.wait().unwrap().success());
 }
 
+/// Failure found on a day of reloads: SIGHUP ended the gateway and lost what it held.
+#[test]
+fn a_reload_moves_the_list_and_the_counter_and_a_faulty_one_changes_nothing() {
+    let (first, second) = (serves("1"), serves("2"));
+    let (old, _) = counter(|_, _| "ok 1\r\n".into());
+    let (new, calls) = counter(|_, _| "ok 1\r\n".into());
+    let (config, list) = config(&[("s-1", first.at)], Some(old));
+    let (mut gateway, path) = reloadable(&config, list);
+    let mut next = config.clone();
+    let (_list, changes) = channel();
+    next["discovery"] = json!(discovery(page(1, true, vec![member("s-2", second.at, "active")]), changes));
+    next["counter"] = json!(new);
+    let mut asked = 0xb4d6_5522u32;
+    let mut until = |done: &dyn Fn(&Message) -> bool| {
+        for _ in 0..2000 {
+            asked += 1;
+            let answer = ask(gateway.at, &request("/tile", "").replace("b4d65521", &format!("{asked:08x}")));
+            assert_eq!(answer.status(), 200);
+            if done(&answer) {
+                return;
+            }
+        }
+        panic!("nothing changes");
+    };
+    let faulty = next.to_string().replace("\"overrun-cost\":1.0", "\"overrun-cost\":\"much\"");
+    assert_ne!(faulty, next.to_string());
+    std::fs::write(&path, faulty).unwrap();
+    gateway.signal("-HUP");
+    let mut log = std::io::BufReader::new(gateway.child.stderr.take().unwrap());
+    let mut line = String::new();
+    while !line.contains("reload-refused") {
+        line.clear();
+        assert!(log.read_line(&mut line).unwrap() > 0, "it ended");
+    }
+    assert!(line.contains("overrun-cost"), "{line}");
+    until(&|answer| answer.body == b"1");
+    std::fs::write(&path, next.to_string()).unwrap();
+    gateway.signal("-HUP");
+    until(&|answer| answer.body == b"2");
+    until(&|_| !calls.lock().unwrap().is_empty());
+    assert!(gateway.child.try_wait().unwrap().is_none());
+}
+
 #[test]
 fn beyond_its_descriptors_a_gateway_goes_on_serving() {
     let backend = serves("");
--- a/crates/gateway/tests/sockets/stand_ins.rs
+++ b/crates/gateway/tests/sockets/stand_ins.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -129,7 +130,7 @@
 }
 
 /// Discovery: the whole list, then what is sent to it, an answer to a watch each; null breaks the connection.
-fn discovery(whole: Value, changes: Receiver<Value>) -> SocketAddr {
+pub fn discovery(whole: Value, changes: Receiver<Value>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let at = listener.local_addr().unwrap();
     thread::spawn(move || {
@@ -180,6 +181,12 @@
     pub list: Sender<Value>,
 }
 
+impl Gateway {
+    pub fn signal(&self, name: &str) {
+        Command::new("kill").arg(name).arg(self.child.id().to_string()).status().unwrap();
+    }
+}
+
 impl Drop for Gateway {
     fn drop(&mut self) {
         self.child.kill().ok();
@@ -200,6 +207,13 @@
     (config, list)
 }
 
+/// A gateway with its configuration's file, to be replaced under it.
+pub fn reloadable(config: &Value, list: Sender<Value>) -> (Gateway, PathBuf) {
+    let path = file(config);
+    let at = SocketAddr::from(([0; 4], 0));
+    (up(config, Gateway { at, child: launch_from(&path, 1024), list }), path)
+}
+
 /// A gateway of the built program; it is there to be asked once it says that it is up.
 pub fn start(config: &Value, list: Sender<Value>) -> Gateway {
     up(config, Gateway { at: SocketAddr::from(([0; 4], 0)), child: launch(config), list })
@@ -223,13 +237,21 @@
 
 /// With so many descriptors, whatever the configuration says.
 pub fn launch_with(config: &Value, descriptors: u32) -> Child {
+    launch_from(&file(config), descriptors)
+}
+
+fn file(config: &Value) -> PathBuf {
     static FILES: AtomicUsize = AtomicUsize::new(0);
     let name = format!("damsonbeam-{}-{}.json", std::process::id(), FILES.fetch_add(1, Ordering::SeqCst));
     let path = std::env::temp_dir().join(name);
     std::fs::write(&path, config.to_string()).unwrap();
+    path
+}
+
+fn launch_from(path: &Path, descriptors: u32) -> Child {
     let mut command = Command::new("/bin/sh");
     let run = format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_damsonbeam"));
-    command.arg("-c").arg(run).env("NODE_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap()
+    command.arg("-c").arg(run).env("NODE_CONFIG", path).stderr(Stdio::piped()).spawn().unwrap()
 }
 
 pub fn gateway(members: &[(&str, SocketAddr)], counter: Option<SocketAddr>) -> Gateway {
