--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
@@ -12,7 +13,8 @@
 use damsonbeam::interface::{DeliveryNo, InvId, Outcome, Report};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::body::Body;
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
@@ -22,10 +24,18 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
 
+use crate::config::Config;
 use crate::log::log;
 use crate::module;
 
 pub const BODY: usize = 64 << 10;
+/// Bytes of a head at most, a client's or a backend's.
+pub const HEAD: usize = 16 << 10;
+/// Part of the time after which the platform closes an idle connection, by which ours are closed.
+const IDLE_PART: (u32, u32) = (3, 4);
+/// Turns given to a connection that was let go, to close.
+const TURNS: usize = 8;
+pub static ID: HeaderName = HeaderName::from_static("x-correlation-id");
 pub static TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
 static UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 static LOAD: HeaderName = HeaderName::from_static("x-backend-load");
@@ -172,6 +182,21 @@
     meter: Rc<Meter>,
 }
 
+impl Conn {
+    /// Whether it can carry a delivery: open, and with nothing on it that came since the last. What came
+    /// since would be taken for the next one's answer; hyper sees it only once the poller has told of it.
+    fn clean(&self) -> bool {
+        let silent = |socket: Rc<Socket>| {
+            let peeked = SockRef::from(&*socket.borrow()).peek(&mut [MaybeUninit::uninit()]);
+            peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+        };
+        !self.send.is_closed() && self.socket.upgrade().is_some_and(silent)
+    }
+}
+
+/// Idle connections to one backend: the one used last goes out first; the oldest stand in front.
+type Pool = RefCell<Vec<(Conn, Instant)>>;
+
 /// What all backends' actors share.
 pub struct Fleet {
     pub connect_timeout: Duration,
@@ -181,20 +206,64 @@
     /// Connections at most, and those open.
     pub most: usize,
     pub open: Rc<Cell<usize>>,
+    /// The pools of all backends.
+    pools: RefCell<Vec<Weak<Pool>>>,
     pub module: mpsc::Sender<module::Mail>,
 }
 
+impl Fleet {
+    pub fn new(config: &Config, module: mpsc::Sender<module::Mail>) -> Rc<Self> {
+        let facts = &config.facts;
+        Rc::new(Fleet {
+            connect_timeout: config.settings.limits.connect_timeout,
+            keep: Duration::from_nanos(facts.ceilings.conn_idle_ns) * IDLE_PART.0 / IDLE_PART.1,
+            reports: facts.report.names.clone(),
+            most: config.backends,
+            open: Rc::default(),
+            pools: RefCell::default(),
+            module,
+        })
+    }
+
+    fn pool(&self) -> Rc<Pool> {
+        let pool = Rc::<Pool>::default();
+        let mut pools = self.pools.borrow_mut();
+        pools.retain(|p| p.strong_count() > 0);
+        pools.push(Rc::downgrade(&pool));
+        pool
+    }
+
+    /// Room for a connection more: at the cap, the one idle longest is let go, whichever backend's it is.
+    /// A pool must not hold the descriptors that another backend's work needs.
+    async fn room(&self) -> bool {
+        let oldest = |p: &Rc<Pool>| p.borrow().first().map(|(_, at)| *at);
+        if self.open.get() >= self.most {
+            let pools: Vec<_> = self.pools.borrow().iter().filter_map(Weak::upgrade).collect();
+            let idle = pools.iter().filter(|p| oldest(p).is_some()).min_by_key(|p| oldest(p));
+            idle.into_iter().for_each(|p| drop(p.borrow_mut().remove(0)));
+            for _ in 0..TURNS {
+                if self.open.get() < self.most {
+                    break;
+                }
+                tokio::task::yield_now().await;
+            }
+        }
+        self.open.get() < self.most
+    }
+}
+
 pub struct Backend {
     pub at: SocketAddr,
     pub fleet: Rc<Fleet>,
+    /// It drains or is gone: what is not written yet is not written any more.
+    pub shut: Rc<Cell<bool>>,
     pub mailbox: mpsc::Receiver<Mail>,
 }
 
 impl Backend {
     /// Until the mailbox is closed and all deliveries have ended.
     pub async fn run(mut self) {
-        // The one used last goes out first; the oldest stand in front.
-        let mut idle: Vec<(Conn, Instant)> = Vec::new();
+        let pool = self.fleet.pool();
         let mut running = FuturesUnordered::new();
         let expiry = sleep_until(Instant::now());
         tokio::pin!(expiry);
@@ -204,7 +273,7 @@
                 biased;
                 Some(back) = running.next(), if !running.is_empty() => {
                     if let Some(conn) = back {
-                        idle.push((conn, Instant::now()));
+                        pool.borrow_mut().push((conn, Instant::now()));
                         if !armed {
                             armed = true;
                             expiry.as_mut().reset(Instant::now() + self.fleet.keep);
@@ -214,18 +283,19 @@
                 mail = self.mailbox.recv(), if open => match mail {
                     Some(Mail::Deliver(job)) => {
                         let keep = self.fleet.keep;
-                        idle.retain(|(conn, at)| !conn.send.is_closed() && at.elapsed() < keep);
-                        let conn = idle.pop().map(|(conn, _)| conn);
-                        running.push(deliver(self.fleet.clone(), self.at, conn, job));
+                        let conn = std::iter::from_fn(|| pool.borrow_mut().pop())
+                            .find_map(|(conn, at)| (at.elapsed() < keep && conn.clean()).then_some(conn));
+                        let shut = self.shut.clone();
+                        running.push(deliver(self.fleet.clone(), self.at, shut, conn, job));
                     }
-                    Some(Mail::CloseIdle) => idle.clear(),
+                    Some(Mail::CloseIdle) => pool.borrow_mut().clear(),
                     None => {
                         open = false;
-                        idle.clear();
+                        pool.borrow_mut().clear();
                     }
                 },
                 () = &mut expiry, if armed => {
-                    let keep = self.fleet.keep;
+                    let (keep, mut idle) = (self.fleet.keep, pool.borrow_mut());
                     idle.retain(|(conn, at)| !conn.send.is_closed() && at.elapsed() < keep);
                     armed = !idle.is_empty();
                     if let Some((_, at)) = idle.first() {
@@ -238,7 +308,7 @@
 }
 
 async fn connect(fleet: &Fleet, at: SocketAddr) -> Result<Conn, String> {
-    if fleet.open.get() >= fleet.most {
+    if !fleet.room().await {
         return Err(format!("{} connections are open", fleet.most));
     }
     let open = Open::new(&fleet.open);
@@ -249,13 +319,20 @@
     socket.set_nodelay(true).map_err(|e| e.to_string())?;
     let (socket, meter) = (Rc::new(RefCell::new(socket)), Rc::<Meter>::default());
     let wire = Wire { socket: socket.clone(), meter: meter.clone(), _open: open };
-    let (send, conn) = handshake(TokioIo::new(wire)).await.map_err(|e| e.to_string())?;
+    let handshake = Builder::new().max_buf_size(HEAD).handshake(TokioIo::new(wire)).await;
+    let (send, conn) = handshake.map_err(|e| e.to_string())?;
     tokio::task::spawn_local(async move { conn.await.ok() });
     Ok(Conn { send, socket: Rc::downgrade(&socket), meter })
 }
 
 /// One delivery; its connection comes back if it can carry another.
-async fn deliver(fleet: Rc<Fleet>, at: SocketAddr, conn: Option<Conn>, job: Job) -> Option<Conn> {
+async fn deliver(
+    fleet: Rc<Fleet>,
+    at: SocketAddr,
+    shut: Rc<Cell<bool>>,
+    conn: Option<Conn>,
+    job: Job,
+) -> Option<Conn> {
     let tell = |outcome, reply, report| {
         let done = Done { inv: job.inv, no: job.no, outcome, reply, report };
         let module = fleet.module.clone();
@@ -277,20 +354,25 @@
     if job.line.over.get() {
         return Some(conn);
     }
+    // While it connected, its backend began to drain.
+    if shut.get() {
+        tell(Outcome::ConnectFailed, None, vec![]).await;
+        return None;
+    }
     *job.line.socket.borrow_mut() = conn.socket.clone();
     conn.meter.begin(job.ask.body.len());
     let answer = match conn.send.send_request(request(&job)).await {
         Ok(answer) => whole(answer).await,
         Err(e) => Err(e.to_string()),
     };
-    *job.line.socket.borrow_mut() = Weak::new();
     match answer {
         Ok((status, mut headers, body)) => {
+            *job.line.socket.borrow_mut() = Weak::new();
             let report = report(&headers, &fleet.reports);
             let outcome = outcome(status, &headers);
             let close = headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
             let reply = (outcome == Outcome::Ok).then(|| {
-                end_to_end(&mut headers);
+                end_to_end(&mut headers, "");
                 headers.remove(&LOAD);
                 Reply { headers, body }
             });
@@ -303,6 +385,8 @@
             if !job.line.over.get() {
                 log!("delivery-broken", "{at}: {why}");
             }
+            // What still comes belongs to nothing any more.
+            job.line.give_up();
             tell(outcome, None, vec![]).await;
             None
         }
@@ -322,6 +406,14 @@
 
 async fn whole(answer: Response<hyper::body::Incoming>) -> Result<Whole, String> {
     let (head, body) = answer.into_parts();
+    let (length, chunks) = (head.headers.get(CONTENT_LENGTH), head.headers.get(TRANSFER_ENCODING));
+    // An end by close can't be told from a break, and a length given in both ways is given in none.
+    if length.is_some() == chunks.is_some_and(|c| c.as_bytes().eq_ignore_ascii_case(b"chunked")) {
+        return Err("an answer of no known length".into());
+    }
+    if body.size_hint().lower() > BODY as u64 {
+        return Err(format!("an answer of {} bytes", body.size_hint().lower()));
+    }
     let body = Limited::new(body, BODY).collect().await.map_err(|e| e.to_string())?.to_bytes();
     Ok((head.status, head.headers, body))
 }
@@ -345,16 +437,20 @@
     names.iter().map(value).collect::<Option<_>>().unwrap_or_default()
 }
 
-/// Leaves the headers that are meant for the far end.
-pub fn end_to_end(headers: &mut HeaderMap) {
+/// Leaves the headers that are meant for the far end, and the name of an invocation in any case: a client
+/// that lists it as meant for the next hop only must not have it go on without.
+pub fn end_to_end(headers: &mut HeaderMap, name: &str) {
     if let Some(named) = headers.remove(CONNECTION) {
         for name in named.to_str().unwrap_or("").split(',') {
             headers.remove(name.trim());
         }
     }
-    for name in ["keep-alive", "proxy-connection", "te", "trailer", "upgrade"] {
+    for name in ["keep-alive", "proxy-connection", "te", "trailer", "upgrade", "expect"] {
         headers.remove(name);
     }
     headers.remove(CONTENT_LENGTH);
     headers.remove(TRANSFER_ENCODING);
+    if let Some(name) = HeaderValue::from_str(name).ok().filter(|n| !n.is_empty()) {
+        headers.insert(&ID, name);
+    }
 }
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -1,31 +1,36 @@
 //! The clients: a listener, tower services over hyper's connections, and the registry of those connections.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
-use std::future::Future;
-use std::pin::Pin;
+use std::future::{Future, poll_fn};
+use std::io;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::str::FromStr;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
-use damsonbeam::interface::{CustomerId, GatewayId, InvId, Invocation, OpId, PlanId};
-use damsonbeam_settings::Facts;
+use damsonbeam::interface::{CustomerId, GatewayId, InvId, Invocation, OpId, PlanId, Repeat};
+use damsonbeam_settings::Class;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::sleep_until;
 use tower::Service;
 
-use crate::backends::{Ask, BODY, Reply, TIME_LEFT, end_to_end};
+use crate::backends::{Ask, BODY, HEAD, ID, Reply, TIME_LEFT, end_to_end};
 use crate::clock::Clock;
+use crate::config::Config;
+use crate::heads::Heads;
 use crate::life::{Life, Stage};
 use crate::log::log;
 use crate::module;
@@ -34,10 +39,15 @@
 const BEYOND: usize = 16;
 /// Pause after a failed accept: descriptors do not come free any sooner by asking.
 const PAUSE: Duration = Duration::from_millis(20);
-/// Bytes of a request's head at most: with a body each, all clients together stay inside the memory.
-const HEAD: usize = 32 << 10;
 /// A client that says it waits longer is not believed.
 const WAIT: Duration = Duration::from_secs(24 * 3600);
+/// In this time a request comes whole: from the connection's start, later from its own first byte. Usual
+/// clients need a fraction; one that says nothing, or never ends, is owed a close within 3 s.
+const WHOLE: Duration = Duration::from_secs(2);
+/// A connection without a request is closed after this: some clients ask once and hold it for good.
+const QUIET: Duration = Duration::from_secs(5);
+/// Bytes of an invocation's name at most.
+const NAME: usize = 64;
 
 /// The one final answer of an invocation.
 pub enum Answer {
@@ -49,44 +59,143 @@
 type Reply200 = Response<Full<Bytes>>;
 type Answering = Pin<Box<dyn Future<Output = Result<Reply200, Infallible>>>>;
 
-/// A client's connection: whether it holds an invocation, and when it last did.
+/// What a client's connection waits for.
+#[derive(Clone, Copy, PartialEq)]
+enum Stand {
+    /// Its first request, whole.
+    New,
+    /// The rest of a later request.
+    Asking,
+    /// Our answer.
+    Held,
+    /// The next request.
+    Quiet,
+}
+
+/// A client's connection: its stand, since when, and whether it ever brought an invocation.
 struct Conn {
-    busy: Cell<bool>,
-    quiet_since: Cell<Duration>,
+    stand: Cell<Stand>,
+    since: Cell<Duration>,
+    proven: Cell<bool>,
+    heads: RefCell<Heads>,
+    /// To be closed: after what is open on it, or at once.
     close: Notify,
+    at_once: Cell<bool>,
+}
+
+impl Conn {
+    fn turn(&self, stand: Stand, now: Duration) {
+        self.stand.set(stand);
+        self.since.set(now);
+    }
+
+    /// When its client's time for this stand is over.
+    fn due(&self) -> Option<Duration> {
+        match self.stand.get() {
+            Stand::New | Stand::Asking => Some(self.since.get() + WHOLE),
+            Stand::Quiet => Some(self.since.get() + QUIET),
+            Stand::Held => None,
+        }
+    }
+}
+
+/// A client's socket, with an ear on what comes in.
+struct Ear {
+    socket: TcpStream,
+    conn: Rc<Conn>,
+    clock: Clock,
+}
+
+impl AsyncRead for Ear {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.socket).poll_read(cx, buf))?;
+        let came = &buf.filled()[before..];
+        if !came.is_empty() && self.conn.stand.get() == Stand::Quiet {
+            self.conn.turn(Stand::Asking, self.clock.now());
+        }
+        self.conn.heads.borrow_mut().came(came);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Ear {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        bytes: &[io::IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write_vectored(cx, bytes)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+}
+
+/// How an operation is asked for.
+struct Operation {
+    name: String,
+    idempotent: bool,
+    integration_timeout: Duration,
 }
 
 pub struct Clients {
-    pub clock: Clock,
-    pub life: Rc<Life>,
-    pub module: mpsc::Sender<module::Mail>,
-    pub operations: Vec<String>,
-    pub plans: Vec<String>,
-    pub most: usize,
+    clock: Clock,
+    life: Rc<Life>,
+    module: mpsc::Sender<module::Mail>,
+    operations: Vec<Operation>,
+    plans: Vec<String>,
+    most_units: f64,
+    gateways: u32,
+    /// Connections at most.
+    most: usize,
+    /// Bytes of bodies at most, and those that are held or on their way.
+    most_bodies: usize,
+    bodies: Cell<usize>,
     conns: RefCell<BTreeMap<u64, Rc<Conn>>>,
     next: Cell<u64>,
+    /// Names of the invocations that the module holds.
+    open: RefCell<HashSet<String>>,
     /// Connections whose tasks still run, and the word that one ended.
     served: Cell<usize>,
     gone: Notify,
 }
 
 impl Clients {
-    pub fn new(
-        facts: &Facts,
-        most: usize,
-        clock: Clock,
-        life: Rc<Life>,
-        to: mpsc::Sender<module::Mail>,
-    ) -> Self {
+    pub fn new(config: &Config, clock: Clock, life: Rc<Life>, to: mpsc::Sender<module::Mail>) -> Self {
+        let (facts, settings) = (&config.facts, &config.settings);
+        let operation = |(c, o): (&Class, &damsonbeam::interface::Operation)| Operation {
+            name: c.name.clone(),
+            idempotent: o.repeat == Repeat::Idempotent,
+            integration_timeout: o.integration_timeout,
+        };
         Clients {
             clock,
             life,
             module: to,
-            operations: facts.request_classes.iter().map(|c| c.name.clone()).collect(),
+            operations: facts.request_classes.iter().zip(&settings.operations).map(operation).collect(),
             plans: facts.plans.iter().map(|p| p.name.clone()).collect(),
-            most,
+            most_units: if settings.most_units > 0.0 { settings.most_units } else { f64::MAX },
+            gateways: settings.gateways,
+            most: config.clients,
+            most_bodies: config.bodies,
+            bodies: Cell::new(0),
             conns: RefCell::default(),
             next: Cell::new(0),
+            open: RefCell::default(),
             served: Cell::new(0),
             gone: Notify::new(),
         }
@@ -95,9 +204,9 @@
     /// Takes in connections until dropped.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
-            let full = self.open() >= self.most;
-            if full && self.evict() {
-                // The one that had to go gives its descriptor back first.
+            if self.open() >= self.most && self.evict() {
+                // The one that had to go gives its descriptor back, and those just taken are heard, first.
+                tokio::task::yield_now().await;
                 tokio::task::yield_now().await;
             }
             while self.open() >= self.most + BEYOND {
@@ -122,44 +231,70 @@
         socket.set_nodelay(true).ok();
         let id = self.next.replace(self.next.get() + 1);
         let conn = Rc::new(Conn {
-            busy: Cell::new(false),
-            quiet_since: Cell::new(self.clock.now()),
+            stand: Cell::new(Stand::New),
+            since: Cell::new(self.clock.now()),
+            proven: Cell::new(false),
+            heads: RefCell::default(),
             close: Notify::new(),
+            at_once: Cell::new(false),
         });
         self.conns.borrow_mut().insert(id, conn.clone());
         self.served.set(self.served.get() + 1);
         tokio::task::spawn_local(async move {
-            let invoke = Invoke { clients: self.clone() };
-            let service = TowerToHyperService::new(Door { conn: conn.clone(), full, inner: invoke });
-            let serving = http1::Builder::new()
-                .auto_date_header(false)
-                .max_buf_size(HEAD)
-                .serve_connection(TokioIo::new(socket), service);
-            tokio::pin!(serving);
-            let done = tokio::select! {
-                done = serving.as_mut() => done,
-                () = conn.close.notified() => {
-                    serving.as_mut().graceful_shutdown();
-                    serving.await
-                }
-            };
-            if let Err(e) = done.as_ref()
-                && e.is_parse()
-            {
-                log!("client-malformed", "{e}");
-            }
+            self.clone().serve(socket, conn, full).await;
             self.conns.borrow_mut().remove(&id);
             self.served.set(self.served.get() - 1);
             self.gone.notify_one();
         });
     }
 
-    /// Closes the connection that has been quiet longest, if one holds no invocation.
+    /// A connection, until it ends or its client's time is over.
+    async fn serve(self: Rc<Self>, socket: TcpStream, conn: Rc<Conn>, full: bool) {
+        let clock = self.clock;
+        let invoke = Invoke { conn: conn.clone(), clients: self };
+        let service = TowerToHyperService::new(Door { full, inner: invoke });
+        let ear = Ear { socket, conn: conn.clone(), clock };
+        let serving = http1::Builder::new()
+            .auto_date_header(false)
+            .max_buf_size(HEAD)
+            .serve_connection(TokioIo::new(ear), service);
+        let (mut serving, mut armed) = (pin!(serving), conn.due());
+        let mut alarm = pin!(sleep_until(clock.instant(armed.unwrap_or_default())));
+        let mut close = pin!(conn.close.notified());
+        let mut told = false;
+        let done = poll_fn(|cx| {
+            if let Poll::Ready(done) = serving.as_mut().poll(cx) {
+                return Poll::Ready(done);
+            }
+            if !told && close.as_mut().poll(cx).is_ready() {
+                told = true;
+                serving.as_mut().graceful_shutdown();
+                cx.waker().wake_by_ref();
+            }
+            let due = conn.due();
+            if due.is_some() && due != armed {
+                alarm.as_mut().reset(clock.instant(due.unwrap_or_default()));
+                armed = due;
+            }
+            // Dropped with what it holds: a head that never ends would keep its place for good.
+            let over = due.is_some() && alarm.as_mut().poll(cx).is_ready();
+            if over || conn.at_once.get() { Poll::Ready(Ok(())) } else { Poll::Pending }
+        });
+        if let Err(e) = done.await
+            && e.is_parse()
+        {
+            log!("client-malformed", "{e}");
+        }
+    }
+
+    /// Closes a connection that holds no invocation: those that never brought one first, the longest quiet
+    /// of each kind before others, or hundreds that say nothing would push out the usual clients.
     fn evict(&self) -> bool {
         let mut conns = self.conns.borrow_mut();
-        let quiet = conns.iter().filter(|(_, c)| !c.busy.get()).min_by_key(|(_, c)| c.quiet_since.get());
-        let id = quiet.map(|(id, _)| *id);
-        id.and_then(|id| conns.remove(&id)).inspect(|c| c.close.notify_one()).is_some()
+        let free = conns.iter().filter(|(_, c)| c.stand.get() != Stand::Held);
+        let id = free.min_by_key(|(_, c)| (c.proven.get(), c.since.get())).map(|(id, _)| *id);
+        let gone = id.and_then(|id| conns.remove(&id));
+        gone.inspect(|c| (c.at_once.set(true), c.close.notify_one()).1).is_some()
     }
 
     /// Ends all connections, each after the answer that it owes.
@@ -178,49 +313,75 @@
         }
     }
 
-    fn decode(&self, uri: &hyper::Uri, headers: &HeaderMap) -> Option<Invocation> {
-        let text = |name: &str| headers.get(name)?.to_str().ok().map(str::trim);
-        let operation = uri.path().trim_start_matches('/').split('/').next()?;
-        let op = self.operations.iter().position(|o| o == operation)?;
-        let plan = text("x-tariff")?;
+    /// What a request says, if all of it can be used; its name stands beside it.
+    fn decode(&self, method: &Method, uri: &hyper::Uri, headers: &HeaderMap) -> Option<(Invocation, String)> {
+        let plain = uri.scheme().is_none() && uri.authority().is_none();
+        let operation = uri.path().strip_prefix('/').filter(|_| plain)?.split('/').next()?;
+        let op = self.operations.iter().position(|o| o.name == operation)?;
+        let asked = &self.operations[op];
+        if asked.idempotent != (method == Method::GET) || matches!(*method, Method::HEAD | Method::CONNECT) {
+            return None;
+        }
+        let plan = one(headers, "x-tariff")?;
         let plan = self.plans.iter().position(|p| p == plan)?;
-        let id = text("x-correlation-id")?;
-        let customer = text("x-subscriber")?;
-        let known = customer.len() == 16 && u64::from_str_radix(customer, 16).is_ok_and(|c| c < 1 << 33);
-        let left = Duration::from_millis(headers.get(&TIME_LEFT)?.to_str().ok()?.trim().parse().ok()?);
-        let mut weight = [None; 3];
-        for field in text("x-weight")?.split(',') {
+        let name = one(headers, ID.as_str())?;
+        let customer = one(headers, "x-subscriber")?;
+        let hex = customer.len() == 16 && customer.bytes().all(|b| b.is_ascii_hexdigit());
+        let known = hex && u64::from_str_radix(customer, 16).is_ok_and(|c| c < 1 << 33);
+        let left = Duration::from_millis(number(one(headers, TIME_LEFT.as_str())?)?);
+        let (mut units, mut spread, mut first) = (None, None, None);
+        for field in one(headers, "x-weight")?.split(',') {
             let (name, value) = field.trim().split_once('=')?;
-            let at = ["units", "spread", "first"].iter().position(|n| *n == name);
-            if let Some(at) = at {
-                weight[at] = Some(value.trim().parse::<f64>().ok()?);
+            // Said twice, another may read it the other way.
+            let again = match name {
+                "units" => units.replace(number::<f64>(value)?).is_some(),
+                "spread" => spread.replace(number::<u32>(value)?).is_some(),
+                "first" => first.replace(number::<u32>(value)?).is_some(),
+                _ => false,
+            };
+            if again {
+                return None;
             }
         }
-        let [Some(units), Some(spread), Some(first)] = weight else { return None };
-        let whole = |n: f64| n.fract() == 0.0 && (0.0..f64::from(u32::MAX)).contains(&n);
-        let counted = units > 0.0 && units <= 1e9;
-        if left > WAIT || id.is_empty() || !known || !counted || !whole(spread) || !whole(first) {
+        let (units, spread, first) = (units?, spread?, first?);
+        let set = (1..=self.gateways).contains(&spread) && first < self.gateways;
+        let named = (1..=NAME).contains(&name.len());
+        if !(known && set && named && units > 0.0 && units <= self.most_units && left <= WAIT) {
             return None;
         }
-        Some(Invocation {
+        let told = Invocation {
             inv: InvId(self.next.replace(self.next.get() + 1)),
-            deadline: self.clock.now() + left,
+            // No client waits longer than its operation's time, whatever it says.
+            deadline: self.clock.now() + left.min(asked.integration_timeout),
             op: OpId(op),
             plan: PlanId(plan),
             customer: CustomerId(customer.to_ascii_lowercase().into()),
             units,
-            first_gateway: GatewayId(first as u32),
-            spread: spread as u32,
+            first_gateway: GatewayId(first),
+            spread,
             write: false,
-            repeat: text("x-repeat") == Some("1"),
-        })
+            repeat: one(headers, "x-repeat") == Some("1"),
+        };
+        Some((told, name.to_owned()))
     }
 }
 
+/// A header that is there once: of two, another on the way may take the other.
+fn one<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    let mut all = headers.get_all(name).iter();
+    let value = all.next()?.to_str().ok()?.trim();
+    all.next().is_none().then_some(value)
+}
+
+/// Plain decimal: no sign, no exponent, no `inf`.
+fn number<T: FromStr>(text: &str) -> Option<T> {
+    let plain = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    text.parse().ok().filter(|_| plain)
+}
+
 /// First layer: the program's phases and the connection's, `/up`, and answers to what comes beyond the cap.
 #[derive(Clone)]
 struct Door {
-    conn: Rc<Conn>,
     full: bool,
     inner: Invoke,
 }
@@ -235,19 +396,22 @@
     }
 
     fn call(&mut self, request: Request<Incoming>) -> Answering {
-        let (conn, full, clients) = (self.conn.clone(), self.full, self.inner.clients.clone());
+        let (conn, full, clients) = (self.inner.conn.clone(), self.full, self.inner.clients.clone());
         let up = request.uri().path() == "/up";
-        let inner = (!up && !full).then(|| self.inner.call(request));
-        conn.busy.set(true);
+        let both = conn.heads.borrow().both();
+        // Where the next head starts is not known after one.
+        let chunked = request.headers().contains_key(TRANSFER_ENCODING);
+        let inner = (!up && !full && !both).then(|| self.inner.call(request));
         Box::pin(async move {
             let mut answer = match inner {
                 Some(inner) => inner.await?,
+                // A second request may hide in its body.
+                None if both => plain(StatusCode::BAD_REQUEST),
                 None if up && clients.life.stage().serves() => plain(StatusCode::OK),
                 None => plain(StatusCode::SERVICE_UNAVAILABLE),
             };
-            conn.busy.set(false);
-            conn.quiet_since.set(clients.clock.now());
-            if full || clients.life.stage() >= Stage::Draining {
+            conn.turn(Stand::Quiet, clients.clock.now());
+            if full || both || chunked || clients.life.stage() >= Stage::Draining {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok(answer)
@@ -259,6 +423,7 @@
 #[derive(Clone)]
 struct Invoke {
     clients: Rc<Clients>,
+    conn: Rc<Conn>,
 }
 
 impl Service<Request<Incoming>> for Invoke {
@@ -271,66 +436,109 @@
     }
 
     fn call(&mut self, request: Request<Incoming>) -> Answering {
-        let clients = self.clients.clone();
-        Box::pin(async move { Ok(clients.invoke(request).await) })
+        let (clients, conn) = (self.clients.clone(), self.conn.clone());
+        Box::pin(async move { Ok(clients.invoke(&conn, request).await.unwrap_or_else(plain)) })
     }
 }
 
 impl Clients {
-    async fn invoke(&self, request: Request<Incoming>) -> Reply200 {
+    /// An invocation's answer, or why the request is none.
+    async fn invoke(&self, conn: &Conn, request: Request<Incoming>) -> Result<Reply200, StatusCode> {
         let (head, body) = request.into_parts();
-        let Some(told) = self.decode(&head.uri, &head.headers) else {
+        let Some((told, name)) = self.decode(&head.method, &head.uri, &head.headers) else {
             log!("invocation-malformed", "{} {}", head.method, head.uri);
-            return plain(StatusCode::BAD_REQUEST);
-        };
-        let body = if body.is_end_stream() {
-            Bytes::new()
-        } else if body.size_hint().lower() > BODY as u64 {
-            return plain(StatusCode::PAYLOAD_TOO_LARGE);
-        } else {
-            let by = sleep_until(self.clock.instant(told.deadline));
-            let whole = tokio::select! {
-                whole = Limited::new(body, BODY).collect() => whole,
-                () = by => return plain(StatusCode::REQUEST_TIMEOUT),
-            };
-            match whole {
-                Ok(whole) => whole.to_bytes(),
-                Err(e) if e.is::<http_body_util::LengthLimitError>() => {
-                    return plain(StatusCode::PAYLOAD_TOO_LARGE);
-                }
-                Err(_) => return plain(StatusCode::BAD_REQUEST),
-            }
+            return Err(StatusCode::BAD_REQUEST);
         };
+        let (body, _room) = self.body(&head.method, body, told.deadline).await?;
+        // Two of a name would share one effect, and each would get the other's answer.
+        if !self.open.borrow_mut().insert(name.clone()) {
+            log!("invocation-twice", "{name}");
+            return Err(StatusCode::CONFLICT);
+        }
+        let mut held = Held { inv: told.inv, name, clients: self, answered: false };
+        conn.proven.set(true);
+        conn.turn(Stand::Held, Duration::ZERO);
         let mut headers = head.headers;
-        end_to_end(&mut headers);
+        end_to_end(&mut headers, &held.name);
         let ask = Rc::new(Ask { method: head.method, uri: head.uri, headers, body });
         let (answer, answered) = oneshot::channel();
-        let mut held = Held { inv: told.inv, module: &self.module, answered: false };
         if self.module.send(module::Mail::Invocation { told, ask, answer }).await.is_err() {
             held.answered = true;
-            return plain(StatusCode::SERVICE_UNAVAILABLE);
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
         let answer = answered.await.unwrap_or(Answer::Errored);
         held.answered = true;
-        encode(answer)
+        Ok(encode(answer))
+    }
+
+    /// A request's body, whole, with the room in memory that it takes.
+    async fn body(
+        &self,
+        method: &Method,
+        body: Incoming,
+        by: Duration,
+    ) -> Result<(Bytes, Option<Room<'_>>), StatusCode> {
+        if body.is_end_stream() {
+            return Ok((Bytes::new(), None));
+        }
+        if *method == Method::GET {
+            return Err(StatusCode::BAD_REQUEST);
+        }
+        let bytes = body.size_hint().upper().unwrap_or(BODY as u64);
+        if bytes > BODY as u64 {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        let room = Room::take(self, bytes as usize).ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+        let whole = tokio::select! {
+            whole = Limited::new(body, BODY).collect() => whole,
+            () = sleep_until(self.clock.instant(by)) => return Err(StatusCode::REQUEST_TIMEOUT),
+        };
+        match whole {
+            Ok(whole) => Ok((whole.to_bytes(), Some(room))),
+            Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
+            Err(_) => Err(StatusCode::BAD_REQUEST),
+        }
+    }
+}
+
+/// Room in memory for a body.
+struct Room<'a>(&'a Clients, usize);
+
+impl<'a> Room<'a> {
+    fn take(clients: &'a Clients, bytes: usize) -> Option<Self> {
+        let all = clients.bodies.get() + bytes;
+        if all > clients.most_bodies {
+            log!("bodies-full", "{} bytes of bodies are held", clients.bodies.get());
+            return None;
+        }
+        clients.bodies.set(all);
+        Some(Room(clients, bytes))
+    }
+}
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        self.0.bodies.set(self.0.bodies.get() - self.1);
     }
 }
 
 /// An invocation that the module holds; dropped unanswered, its client has hung up.
 struct Held<'a> {
     inv: InvId,
-    module: &'a mpsc::Sender<module::Mail>,
+    name: String,
+    clients: &'a Clients,
     answered: bool,
 }
 
 impl Drop for Held<'_> {
     fn drop(&mut self) {
+        self.clients.open.borrow_mut().remove(&self.name);
         if self.answered {
             return;
         }
         let left = module::Mail::Left { inv: self.inv };
-        if let Err(mpsc::error::TrySendError::Full(left)) = self.module.try_send(left) {
-            let module = self.module.clone();
+        if let Err(mpsc::error::TrySendError::Full(left)) = self.clients.module.try_send(left) {
+            let module = self.clients.module.clone();
             tokio::task::spawn_local(async move { module.send(left).await.ok() });
         }
     }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -7,11 +7,18 @@
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
 
+use crate::backends::{BODY, HEAD};
 use crate::list::Page;
 
-/// Descriptors kept for all but clients and backends: listener, counter, list, peers, the runtime's own.
-const RESERVE: usize = 64;
+/// Descriptors kept for all but clients and backends: listener, counter, list, peers, the runtime's own, and
+/// those of connections that were let go and close within a turn.
+const RESERVE: usize = 48;
 const SOCKETS: usize = 1024;
+const MEMORY_MB: usize = 192;
+/// Connections of a kind, at least.
+const LEAST: usize = 16;
+/// A client's or a backend's connection with its buffers, at most, besides a body.
+const CONNECTION: usize = HEAD + (12 << 10);
 
 /// What a reload can change: where others are reached.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -34,6 +41,8 @@
     /// Client connections at most, and connections to backends at most.
     pub clients: usize,
     pub backends: usize,
+    /// Bytes of requests' bodies at most.
+    pub bodies: usize,
 }
 
 #[derive(Deserialize)]
@@ -57,6 +66,7 @@
 #[derive(Deserialize, Default)]
 struct Limits {
     sockets: Option<usize>,
+    memory_mb: Option<usize>,
 }
 
 impl Config {
@@ -90,7 +100,14 @@
             return Err(format!("limits.sockets: {sockets} is too few, {} at least", 4 * RESERVE));
         }
         let discovery = addr("discovery", &given("discovery", raw.discovery, "NODE_DISCOVERY")?)?;
-        let backends = (sockets - RESERVE) * 2 / 5;
+        let memory = raw.limits.memory_mb.unwrap_or(MEMORY_MB) << 20;
+        // With every place at its largest, each of these takes a quarter of the memory at most.
+        let quarter = memory / 4;
+        let backends = ((sockets - RESERVE) * 2 / 5).min(quarter / (CONNECTION + BODY));
+        let clients = ((sockets - RESERVE) * 3 / 5).min(quarter / CONNECTION);
+        if backends.min(clients) < LEAST {
+            return Err(format!("limits.memory_mb: {} MB hold too few connections", memory >> 20));
+        }
         Ok(Config {
             name: given("name", raw.name, "NODE_NAME")?,
             listen: addr("listen", &given("listen", raw.listen, "NODE_LISTEN")?)?,
@@ -102,8 +119,9 @@
             known: raw.known,
             facts,
             settings,
-            clients: sockets - RESERVE - backends,
+            clients,
             backends,
+            bodies: quarter,
         })
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod config;
 pub mod counter;
+pub mod heads;
 pub mod life;
 pub mod list;
 pub mod log;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -36,8 +36,6 @@
 /// and the time for accepting after SIGTERM; our exit comes this much before.
 const LONGEST: Duration = Duration::from_secs(3);
 const BEFORE: Duration = Duration::from_millis(20);
-/// Part of the time after which the platform closes an idle connection, by which ours are closed.
-const IDLE_PART: (u32, u32) = (3, 4);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
@@ -133,15 +131,9 @@
         let clock = Clock::start();
         let (to_module, mailbox) = mpsc::channel(MODULE_ROOM);
         let places = config.places;
+        let fleet = Fleet::new(&config, to_module.clone());
+        let clients = Rc::new(Clients::new(&config, clock, self.clone(), to_module.clone()));
         let (limits, facts) = (&config.settings.limits, config.facts);
-        let fleet = Rc::new(Fleet {
-            connect_timeout: limits.connect_timeout,
-            keep: Duration::from_nanos(facts.ceilings.conn_idle_ns) * IDLE_PART.0 / IDLE_PART.1,
-            reports: facts.report.names.clone(),
-            most: config.backends,
-            open: Rc::default(),
-            module: to_module.clone(),
-        });
         let actors = FuturesUnordered::new();
         let longest = config.settings.operations.iter().map(|o| o.integration_timeout).max();
         let grace = longest.unwrap_or_default().max(LONGEST) + ACCEPT_ON - BEFORE;
@@ -164,7 +156,6 @@
                 Some(to)
             }
         };
-        let clients = Rc::new(Clients::new(&facts, config.clients, clock, self.clone(), to_module.clone()));
         let mut numbers = Numbers::new(facts.dcs, facts.kinds);
         let some = !config.known.members.is_empty();
         let known = numbers.listed(config.known, ListForm::Restored);
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -76,6 +76,11 @@
         Numbers { zones, kinds, ids: HashMap::new() }
     }
 
+    /// How many names it knows.
+    pub fn known(&self) -> usize {
+        self.ids.len()
+    }
+
     /// The same at every gateway: made from the id alone, but for the rare two that fall together.
     fn tgt(&mut self, id: &str) -> TgtId {
         if let Some(known) = self.ids.get(id) {
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -1,5 +1,6 @@
 //! The module's actor: owns the rules, feeds them events in order of arrival, carries out their actions.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -57,6 +58,14 @@
 struct Peer {
     at: SocketAddr,
     mailbox: mpsc::Sender<backends::Mail>,
+    /// It drains or is gone: what is not written to it yet is not written any more.
+    shut: Rc<Cell<bool>>,
+}
+
+impl Drop for Peer {
+    fn drop(&mut self) {
+        self.shut.set(true);
+    }
 }
 
 pub struct Module {
@@ -161,9 +170,13 @@
                 self.state.backends.remove(&e.tgt);
             } else if self.state.backends.get(&e.tgt).is_none_or(|b| b.at != at) {
                 let (to, mailbox) = mpsc::channel(JOBS);
-                let backend = Backend { at, fleet: self.fleet.clone(), mailbox };
+                let shut = Rc::<Cell<bool>>::default();
+                let backend = Backend { at, fleet: self.fleet.clone(), shut: shut.clone(), mailbox };
                 tokio::task::spawn_local(backend.run());
-                self.state.backends.insert(e.tgt, Peer { at, mailbox: to });
+                self.state.backends.insert(e.tgt, Peer { at, mailbox: to, shut });
+            }
+            if let Some(peer) = self.state.backends.get(&e.tgt) {
+                peer.shut.set(e.health != Health::Up);
             }
         }
         self.feed(Event::Targets { form, entries });
--- a/crates/gateway/tests/sockets/main.rs
+++ b/crates/gateway/tests/sockets/main.rs
@@ -6,7 +6,10 @@
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
+use damsonbeam::interface::ListForm;
 use damsonbeam_gateway::backends::Meter;
+use damsonbeam_gateway::heads::Heads;
+use damsonbeam_gateway::list::Numbers;
 use damsonbeam_gateway::log::Site;
 use serde_json::{Value, json};
 use stand_ins::*;
@@ -14,9 +17,12 @@
 #[test]
 fn an_invocation_goes_on_unchanged_and_its_answer_comes_back_whole() {
     let backend = serves("the tile");
-    let gateway = gateway(&[("s-1", backend.at)], None);
+    let (mut config, list) = config(&[("s-1", backend.at)], None);
+    config["settings"]["request-classes"][0]["idempotency"] = json!("dedup");
+    let gateway = start(&config, list);
     let post = "POST /tile/7/3?x=1&y=%20 HTTP/1.1";
-    let text = request("/", "Content-Length: 4\r\n").replace("GET / HTTP/1.1", post) + "body";
+    let text = request("/", "Content-Length: 4\r\nConnection: x-correlation-id\r\n");
+    let text = text.replace("GET / HTTP/1.1", post) + "body";
     let mut socket = connect(gateway.at);
     for n in 0..3 {
         socket.get_mut().write_all(text.as_bytes()).unwrap();
@@ -32,34 +38,148 @@
 #[test]
 fn what_is_malformed_or_too_large_reaches_no_backend() {
     let backend = serves("");
-    let gateway = gateway(&[("s-1", backend.at)], None);
+    let (mut config, list) = config(&[("s-1", backend.at)], None);
+    let mut class = config["settings"]["request-classes"][0].clone();
+    (class["name"], class["idempotency"]) = (json!("mark"), json!("fragile"));
+    config["settings"]["request-classes"].as_array_mut().unwrap().push(class);
+    let gateway = start(&config, list);
     let whole = request("/tile", "");
+    let both = "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    let turned = "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n";
+    let named = format!("X-Tariff: basic\r\n{}", "X-Correlation-Id: 9b1f03aa5c7e2d41");
     for (from, to) in [
         ("/tile", "/other"),
+        ("/tile", "//tile"),
+        ("/tile", "http://other/tile"),
+        ("GET", "POST"),
+        ("GET /tile", "GET /mark"),
         ("X-Correlation-Id: 9b1f03aa5c7e2d41", "X-Other: 1"),
+        ("X-Tariff: basic", &named),
         ("X-Tariff: basic", "X-Tariff: none"),
         ("00000000b4d65521", "b4d65521"),
+        ("00000000b4d65521", "+0000000b4d65521"),
         ("00000000b4d65521", "0000000200000000"),
         ("Left-Ms: 6000", "Left-Ms: -1"),
+        ("Left-Ms: 6000", "Left-Ms: +1"),
         ("Left-Ms: 6000", "Left-Ms: 18446744073709551615"),
         ("units=2", "units=NaN"),
+        ("units=2", "units=0"),
+        ("units=2", "units=1e1"),
+        ("units=2", "units=8.5"),
+        ("units=2", "units=2,units=8"),
         ("spread=1", "spread=1.5"),
+        ("spread=1", "spread=0"),
+        ("spread=1", "spread=2"),
+        ("first=0", "first=1"),
         (",first=0", ""),
         ("Host: backend.local", "Host backend.local"),
+        ("Host: backend.local", "Content-Length: -1"),
         ("X-Tariff", "X Tariff"),
+        ("GET /tile", "POST /mark"),
     ] {
         assert!(whole.contains(from));
-        assert_eq!(ask(gateway.at, &whole.replace(from, to)).status(), 400, "{to}");
+        let mut text = whole.replace(from, to);
+        if to == "POST /mark" {
+            // A body's length given in both ways, either first: a second request may hide in it.
+            for framing in [both, turned] {
+                let text = text.replace("\r\n\r\n", &format!("\r\n{framing}\r\n"));
+                assert_eq!(ask(gateway.at, &text).status(), 400, "{framing}");
+            }
+            text = text.replace("POST", "GET");
+        }
+        assert_eq!(ask(gateway.at, &text).status(), 400, "{to}");
     }
-    let large = request("/tile", "Content-Length: 65537\r\n").replace("GET", "POST");
-    assert_eq!(ask(gateway.at, &large).status(), 413);
+    let body = whole.replace("\r\n\r\n", "\r\nContent-Length: 1\r\n\r\nx");
+    assert_eq!(ask(gateway.at, &body).status(), 400);
+    let post = |extra| request("/mark", extra).replace("GET", "POST");
+    assert_eq!(ask(gateway.at, &post("Content-Length: 65537\r\n")).status(), 413);
     let chunk = "x".repeat(0x8000);
     let chunks = format!("8000\r\n{chunk}\r\n").repeat(3);
-    let large =
-        request("/tile", "Transfer-Encoding: chunked\r\n").replace("GET", "POST") + &chunks + "0\r\n\r\n";
+    let large = post("Transfer-Encoding: chunked\r\n") + &chunks + "0\r\n\r\n";
     assert_eq!(ask(gateway.at, &large).status(), 413);
     assert!(backend.got.lock().unwrap().is_empty());
     assert_eq!(ask(gateway.at, &whole).status(), 200);
+    let chunked = post("Transfer-Encoding: chunked\r\n") + "1\r\nx\r\n0\r\n\r\n";
+    assert_eq!(ask(gateway.at, &chunked).status(), 200);
+}
+
+#[test]
+fn a_head_with_a_length_given_in_both_ways_is_seen_wherever_it_stands() {
+    let two = "\r\nPOST /a HTTP/1.1\r\nContent-Length: 30\r\n\r\ntransfer-encoding: chunked\r\n\r\n\
+               POST /b HTTP/1.1\r\nX: content-length: 1\r\nTransfer-Encoding: chunked\r\n";
+    let long = format!("X-Long: {}\r\n", "y".repeat(300));
+    for (extra, both) in [("", false), ("CONTENT-LENGTH: 7\r\n", true)] {
+        let text = format!("{two}{long}{extra}\r\n");
+        for step in 1..40 {
+            let mut heads = Heads::default();
+            text.as_bytes().chunks(step).for_each(|part| heads.came(part));
+            assert_eq!(heads.both(), both, "{extra} by {step}");
+        }
+    }
+}
+
+#[test]
+fn the_name_of_an_open_invocation_is_taken() {
+    let (asked, told) = channel();
+    let (go, may) = channel::<()>();
+    let may = std::sync::Mutex::new(may);
+    let backend = backend(move |_| {
+        asked.send(()).unwrap();
+        may.lock().unwrap().recv().ok();
+        Does::Answers(answer("200 OK", "mine"))
+    });
+    let gateway = gateway(&[("s-1", backend.at)], None);
+    let mut socket = connect(gateway.at);
+    socket.get_mut().write_all(request("/tile", "").as_bytes()).unwrap();
+    wait(&told);
+    assert_eq!(ask(gateway.at, &request("/tile", "")).status(), 409);
+    drop(go);
+    assert_eq!(Message::read(&mut socket).unwrap().body, b"mine");
+    assert_eq!(ask(gateway.at, &request("/tile", "")).status(), 200);
+}
+
+/// None of these gives the gateway an end to wait for; each would hold its place for good.
+#[test]
+fn a_client_that_says_nothing_or_never_ends_is_let_go() {
+    let backend = serves("");
+    let gateway = gateway(&[("s-1", backend.at)], None);
+    let half = request("/tile", "").replace("\r\n\r\n", "\r\nX-More: ");
+    let body = request("/tile", "Content-Length: 9\r\n") + "x";
+    let mut sockets = Vec::new();
+    for text in ["", "GET", half.as_str(), body.as_str()] {
+        for again in [false, true] {
+            let mut socket = connect(gateway.at);
+            if again {
+                socket.get_mut().write_all(request("/tile", "").as_bytes()).unwrap();
+                assert_eq!(Message::read(&mut socket).unwrap().status(), 200);
+            }
+            socket.get_mut().write_all(text.as_bytes()).unwrap();
+            sockets.push(socket);
+        }
+    }
+    for mut socket in sockets {
+        let mut rest = Vec::new();
+        let ended = socket.read_to_end(&mut rest);
+        let hung = |e: &std::io::Error| e.kind() == std::io::ErrorKind::WouldBlock;
+        assert!(!ended.is_err_and(|e| hung(&e)), "it stays open");
+        assert!(rest.is_empty() || rest.starts_with(b"HTTP/1.1 4"));
+    }
+}
+
+#[test]
+fn connections_that_say_nothing_push_out_no_usual_client() {
+    let backend = serves("");
+    let gateway = gateway(&[("s-1", backend.at)], None);
+    let mut usual: Vec<_> = (0..20).map(|_| connect(gateway.at)).collect();
+    for _ in 0..3 {
+        for socket in &mut usual {
+            socket.get_mut().write_all(request("/tile", "").as_bytes()).unwrap();
+            assert_eq!(Message::read(socket).expect("pushed out").status(), 200);
+        }
+        let silent: Vec<_> = (0..300).map(|_| connect(gateway.at)).collect();
+        assert_eq!(ask(gateway.at, &request("/tile", "")).status(), 200);
+        drop(silent);
+    }
 }
 
 #[test]
@@ -104,6 +224,20 @@
     panic!("the counter is no longer asked");
 }
 
+#[test]
+fn noise_of_the_counter_without_an_end_holds_no_call() {
+    for noise in ["\u{1}\u{2}", "ok 1x", "oh", "HTTP/1.1 200 OK"] {
+        let (counter, calls) = counter(move |n, _| if n == 0 { noise.into() } else { "ok 2\r\n".into() });
+        let backend = serves("");
+        let (mut config, list) = config(&[("s-1", backend.at)], Some(counter));
+        // Waiting for it, the invocation would run out of its client's time.
+        config["settings"]["domain"]["counter-timeout-ns"] = json!(60_000_000_000u64);
+        let gateway = start(&config, list);
+        assert_eq!(ask(gateway.at, &request("/tile", "")).status(), 200, "{noise:?}");
+        assert_eq!(calls.lock().unwrap().len(), 1);
+    }
+}
+
 #[test]
 fn a_counter_that_refuses_is_asked_again_when_it_is_back() {
     let (backend, held) = (serves(""), std::net::TcpListener::bind("127.0.0.1:0").unwrap());
@@ -171,6 +305,62 @@
     assert_eq!(backend.got.lock().unwrap().len(), 3);
 }
 
+#[test]
+fn a_spoilt_answer_is_never_passed_on() {
+    let (close, long) =
+        ("HTTP/1.1 200 OK\r\n\r\nhalf", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx");
+    let two = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    let minus = "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nhalf";
+    for spoilt in [close, long, two, minus, "\u{1}\u{2}\r\n\r\n", "HTTP/1.1 2 OK\r\n\r\n"] {
+        let backend = backend(move |n| match n {
+            0 => Does::Says(spoilt.into()),
+            _ => Does::Answers("HTTP/1.1 103 Early\r\n\r\n".to_owned() + &answer("200 OK", "whole")),
+        });
+        let gateway = gateway(&[("s-1", backend.at)], None);
+        let answer = ask(gateway.at, &request("/tile", ""));
+        assert_eq!((answer.status(), answer.body.as_slice()), (200, b"whole".as_slice()), "{spoilt:?}");
+    }
+}
+
+#[test]
+fn what_comes_behind_an_answer_is_nobodys_answer() {
+    let of_another = answer("200 OK", "another's");
+    let backend = backend(move |n| Does::Answers(answer("200 OK", &n.to_string()) + &of_another));
+    let gateway = gateway(&[("s-1", backend.at)], None);
+    for n in 0..20 {
+        assert_eq!(ask(gateway.at, &request("/tile", "")).body, n.to_string().as_bytes());
+    }
+}
+
+/// Seen in the source: a connection that took long was written to long after its backend began to drain.
+#[test]
+fn what_still_connects_when_a_backend_drains_goes_elsewhere() {
+    let full = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    full.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+    full.listen(0).unwrap();
+    let at = full.local_addr().unwrap().as_socket().unwrap();
+    // With its queue full, the next connection waits to come up.
+    let short = Duration::from_millis(200);
+    let queue: Vec<_> = (0..4).map_while(|_| std::net::TcpStream::connect_timeout(&at, short).ok()).collect();
+    let (mut config, list) = config(&[("s-1", at)], None);
+    config["settings"]["ceilings"]["connect-timeout-ns"] = json!(20_000_000_000u64);
+    let (gateway, second) = (start(&config, list), serves("2"));
+    let mut socket = connect(gateway.at);
+    socket.get_mut().write_all(request("/tile", "").as_bytes()).unwrap();
+    std::thread::sleep(Duration::from_millis(300));
+    let members = vec![member("s-1", at, "leaving"), member("s-2", second.at, "active")];
+    gateway.list.send(page(2, true, members)).unwrap();
+    while ask(gateway.at, &request("/tile", "").replace("9b1f", "0000")).body != b"2" {}
+    let mut written = Vec::new();
+    for _ in 0..=queue.len() {
+        let (mut taken, _) = full.accept().unwrap();
+        taken.set_read_timeout(Some(short)).unwrap();
+        taken.read_to_end(&mut written).ok();
+    }
+    assert_eq!(Message::read(&mut socket).unwrap().body, b"2");
+    assert!(written.is_empty());
+}
+
 #[test]
 fn a_hang_up_ends_the_delivery() {
     let ((asked, told), (ended, over)) = (channel(), channel());
@@ -220,6 +410,26 @@
     panic!("work still goes to what drains or is gone");
 }
 
+#[test]
+fn names_of_backends_that_are_gone_are_forgotten() {
+    let mut numbers = Numbers::new(vec![], vec![]);
+    let at = "127.0.0.1:1".parse().unwrap();
+    let mut list = |form, complete, members| {
+        let page = serde_json::from_value(page(1, complete, members)).unwrap();
+        (numbers.listed(page, form).entries[0].tgt, numbers.known())
+    };
+    let (first, _) = list(ListForm::Replace, true, vec![member("s-0", at, "active")]);
+    for n in 0..100 {
+        let (before, now) = (format!("s-{n}"), format!("s-{}", n + 1));
+        let (tgt, known) = match n % 2 {
+            0 => list(ListForm::Replace, true, vec![member(&now, at, "active")]),
+            _ => list(ListForm::Update, false, vec![member(&now, at, "active"), member(&before, at, "left")]),
+        };
+        assert!(tgt != first && known == 1, "{known} at {n}");
+    }
+    assert_eq!(list(ListForm::Replace, true, vec![member("s-0", at, "active")]).0, first);
+}
+
 #[test]
 fn a_list_that_breaks_off_stays_and_is_asked_for_again() {
     let (first, second) = (serves("1"), serves("2"));
--- a/crates/gateway/tests/sockets/stand_ins.rs
+++ b/crates/gateway/tests/sockets/stand_ins.rs
@@ -64,6 +64,8 @@
 /// What a backend does with a request.
 pub enum Does {
     Answers(String),
+    /// The same, and goes on reading nothing: the connection stays open, or ends where no length was said.
+    Says(String),
     Breaks,
     /// Says nothing, and tells when the connection ends.
     Hangs(Sender<()>),
@@ -88,6 +90,13 @@
                     let n = seen.lock().map(|mut s| (s.len(), s.push(request)).0).unwrap();
                     match does(n) {
                         Does::Answers(text) => out.write_all(text.as_bytes()).unwrap_or(()),
+                        Does::Says(text) => {
+                            out.write_all(text.as_bytes()).ok();
+                            if text.contains("Length") {
+                                from.fill_buf().ok();
+                            }
+                            return;
+                        }
                         Does::Breaks => return,
                         Does::Hangs(ended) => {
                             from.fill_buf().ok();
