Answers of up to 1 MiB go on; a silent counter connection is left at once

A connection, not the counter, had fallen silent; counter.rs kept it for 1 s (SILENT), all calls of that second failed, and the module went on by guesses. Now it is left after one call's time-out, doubled up to 1 s while connections say nothing. Ruled out: CPU (0.10 of a core in the worst second), memory (7 of 128 MB).

--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -27,8 +27,11 @@
 use crate::config::Config;
 use crate::log::log;
 use crate::module;
+use crate::room::Rooms;
 
 pub const BODY: usize = 64 << 10;
+/// Bytes of an answer's body at most: the platform promises no more than of a request's, and sends more.
+const ANSWER: usize = 1 << 20;
 /// Bytes of a head at most, a client's or a backend's.
 pub const HEAD: usize = 16 << 10;
 /// Part of the time after which the platform closes an idle connection, by which ours are closed.
@@ -208,6 +211,7 @@
     pub open: Rc<Cell<usize>>,
     /// The pools of all backends.
     pools: RefCell<Vec<Weak<Pool>>>,
+    rooms: Rooms,
     pub module: mpsc::Sender<module::Mail>,
 }
 
@@ -221,6 +225,7 @@
             most: config.backends,
             open: Rc::default(),
             pools: RefCell::default(),
+            rooms: Rooms::new(config.bodies),
             module,
         })
     }
@@ -362,7 +367,7 @@
     *job.line.socket.borrow_mut() = conn.socket.clone();
     conn.meter.begin(job.ask.body.len());
     let answer = match conn.send.send_request(request(&job)).await {
-        Ok(answer) => whole(answer).await,
+        Ok(answer) => whole(&fleet.rooms, answer).await,
         Err(e) => Err(e.to_string()),
     };
     match answer {
@@ -404,18 +409,23 @@
 
 type Whole = (StatusCode, HeaderMap, Bytes);
 
-async fn whole(answer: Response<hyper::body::Incoming>) -> Result<Whole, String> {
+async fn whole(rooms: &Rooms, answer: Response<hyper::body::Incoming>) -> Result<Whole, String> {
     let (head, body) = answer.into_parts();
     let (length, chunks) = (head.headers.get(CONTENT_LENGTH), head.headers.get(TRANSFER_ENCODING));
     // An end by close can't be told from a break, and a length given in both ways is given in none.
     if length.is_some() == chunks.is_some_and(|c| c.as_bytes().eq_ignore_ascii_case(b"chunked")) {
         return Err("an answer of no known length".into());
     }
-    if body.size_hint().lower() > BODY as u64 {
-        return Err(format!("an answer of {} bytes", body.size_hint().lower()));
+    let said = body.size_hint().exact();
+    if said.is_some_and(|n| n > ANSWER as u64) {
+        return Err(format!("an answer of {} bytes", said.unwrap_or_default()));
     }
-    let body = Limited::new(body, BODY).collect().await.map_err(|e| e.to_string())?.to_bytes();
-    Ok((head.status, head.headers, body))
+    // What fits in a body has its room with its connection; more is taken from what all answers share.
+    let most =
+        if said.is_some_and(|n| n <= BODY as u64) { BODY } else { said.map_or(ANSWER, |n| n as usize) };
+    let room = if most > BODY { Some(rooms.take(most).ok_or("no room for an answer")?) } else { None };
+    let body = Limited::new(body, most).collect().await.map_err(|e| e.to_string())?.to_bytes();
+    Ok((head.status, head.headers, room.into_iter().fold(body, |body, room| room.keep(body))))
 }
 
 fn outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -34,6 +34,7 @@
 use crate::life::{Life, Stage};
 use crate::log::log;
 use crate::module;
+use crate::room::Rooms;
 
 /// Connections taken beyond the cap, only to be told so.
 const BEYOND: usize = 16;
@@ -106,6 +107,15 @@
     clock: Clock,
 }
 
+impl Ear {
+    /// A client that goes on reading its answer, however slowly, is not quiet yet.
+    fn wrote(&self) {
+        if self.conn.stand.get() == Stand::Quiet {
+            self.conn.since.set(self.clock.now());
+        }
+    }
+}
+
 impl AsyncRead for Ear {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
@@ -121,7 +131,9 @@
 
 impl AsyncWrite for Ear {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(cx, bytes)
+        let n = ready!(Pin::new(&mut self.socket).poll_write(cx, bytes))?;
+        self.wrote();
+        Poll::Ready(Ok(n))
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
@@ -137,7 +149,9 @@
         cx: &mut Context,
         bytes: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(cx, bytes)
+        let n = ready!(Pin::new(&mut self.socket).poll_write_vectored(cx, bytes))?;
+        self.wrote();
+        Poll::Ready(Ok(n))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -162,9 +176,8 @@
     gateways: u32,
     /// Connections at most.
     most: usize,
-    /// Bytes of bodies at most, and those that are held or on their way.
-    most_bodies: usize,
-    bodies: Cell<usize>,
+    /// Room for the bodies that are held or on their way.
+    bodies: Rooms,
     conns: RefCell<BTreeMap<u64, Rc<Conn>>>,
     next: Cell<u64>,
     /// Names of the invocations that the module holds.
@@ -191,8 +204,7 @@
             most_units: if settings.most_units > 0.0 { settings.most_units } else { f64::MAX },
             gateways: settings.gateways,
             most: config.clients,
-            most_bodies: config.bodies,
-            bodies: Cell::new(0),
+            bodies: Rooms::new(config.bodies),
             conns: RefCell::default(),
             next: Cell::new(0),
             open: RefCell::default(),
@@ -449,7 +461,7 @@
             log!("invocation-malformed", "{} {}", head.method, head.uri);
             return Err(StatusCode::BAD_REQUEST);
         };
-        let (body, _room) = self.body(&head.method, body, told.deadline).await?;
+        let body = self.body(&head.method, body, told.deadline).await?;
         // Two of a name would share one effect, and each would get the other's answer.
         if !self.open.borrow_mut().insert(name.clone()) {
             log!("invocation-twice", "{name}");
@@ -471,15 +483,10 @@
         Ok(encode(answer))
     }
 
-    /// A request's body, whole, with the room in memory that it takes.
-    async fn body(
-        &self,
-        method: &Method,
-        body: Incoming,
-        by: Duration,
-    ) -> Result<(Bytes, Option<Room<'_>>), StatusCode> {
+    /// A request's body, whole.
+    async fn body(&self, method: &Method, body: Incoming, by: Duration) -> Result<Bytes, StatusCode> {
         if body.is_end_stream() {
-            return Ok((Bytes::new(), None));
+            return Ok(Bytes::new());
         }
         if *method == Method::GET {
             return Err(StatusCode::BAD_REQUEST);
@@ -488,40 +495,22 @@
         if bytes > BODY as u64 {
             return Err(StatusCode::PAYLOAD_TOO_LARGE);
         }
-        let room = Room::take(self, bytes as usize).ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+        let Some(room) = self.bodies.take(bytes as usize) else {
+            log!("bodies-full", "no room for a body of {bytes} bytes");
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        };
         let whole = tokio::select! {
             whole = Limited::new(body, BODY).collect() => whole,
             () = sleep_until(self.clock.instant(by)) => return Err(StatusCode::REQUEST_TIMEOUT),
         };
         match whole {
-            Ok(whole) => Ok((whole.to_bytes(), Some(room))),
+            Ok(whole) => Ok(room.keep(whole.to_bytes())),
             Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
             Err(_) => Err(StatusCode::BAD_REQUEST),
         }
     }
 }
 
-/// Room in memory for a body.
-struct Room<'a>(&'a Clients, usize);
-
-impl<'a> Room<'a> {
-    fn take(clients: &'a Clients, bytes: usize) -> Option<Self> {
-        let all = clients.bodies.get() + bytes;
-        if all > clients.most_bodies {
-            log!("bodies-full", "{} bytes of bodies are held", clients.bodies.get());
-            return None;
-        }
-        clients.bodies.set(all);
-        Some(Room(clients, bytes))
-    }
-}
-
-impl Drop for Room<'_> {
-    fn drop(&mut self) {
-        self.0.bodies.set(self.0.bodies.get() - self.1);
-    }
-}
-
 /// An invocation that the module holds; dropped unanswered, its client has hung up.
 struct Held<'a> {
     inv: InvId,
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -41,7 +41,7 @@
     /// Client connections at most, and connections to backends at most.
     pub clients: usize,
     pub backends: usize,
-    /// Bytes of requests' bodies at most.
+    /// Bytes of requests' bodies at most, and of answers larger than a body, for each of both.
     pub bodies: usize,
 }
 
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -16,7 +16,9 @@
 use crate::log::log;
 use crate::module;
 
-/// With calls out and nothing heard for this long, the connection is held for dead.
+/// With calls out and nothing heard for this long at most, the connection is held for dead. It begins with
+/// one call's time-out: later answers are of no use, and each call more that goes to a dead connection is
+/// lost. It doubles with each connection that said nothing, or a slow counter would get little but those.
 const SILENT: Duration = Duration::from_secs(1);
 /// An answer is a word and a number; a longer line is none.
 const LINE: usize = 128;
@@ -58,6 +60,8 @@
     end: u64,
     sent: VecDeque<Sent>,
     heard: Duration,
+    /// How long it may be silent.
+    patience: Duration,
     read: Vec<u8>,
 }
 
@@ -121,6 +125,7 @@
     pub async fn run(mut self) {
         // Calls that wait for a connection.
         let mut waiting: VecDeque<Call> = VecDeque::new();
+        let mut patience = self.timeout;
         loop {
             if waiting.is_empty() {
                 match self.mailbox.recv().await {
@@ -132,7 +137,8 @@
             }
             match self.connect(&mut waiting).await {
                 Some(Ok(socket)) => {
-                    let mut stream = Stream { heard: self.clock.now(), ..Stream::default() };
+                    let began = self.clock.now();
+                    let mut stream = Stream { heard: began, patience, ..Stream::default() };
                     waiting.drain(..).for_each(|call| stream.encode(call));
                     let why = self.talk(socket, &mut stream).await;
                     for s in std::mem::take(&mut stream.sent) {
@@ -141,6 +147,8 @@
                         let outcome = if written { Outcome::TimedOut } else { Outcome::ConnectFailed };
                         self.tell(s.call, outcome, 0.0).await;
                     }
+                    let mute = stream.heard == began;
+                    patience = if mute { (patience * 2).min(SILENT.max(self.timeout)) } else { self.timeout };
                     match why {
                         Some(Left::Broken(e)) => log!("counter-lost", "{}: {e}", self.at),
                         Some(Left::Moved) => {}
@@ -265,11 +273,11 @@
                         self.tell(call, Outcome::TimedOut, 0.0).await;
                     }
                     let oldest = stream.sent.front().map(|s| s.at);
-                    if oldest.is_some_and(|at| at.max(stream.heard) + SILENT <= now) {
+                    if oldest.is_some_and(|at| at.max(stream.heard) + stream.patience <= now) {
                         return Some(Error::new(ErrorKind::TimedOut, "silent").into());
                     }
                     let next = stream.sent.iter().find(|s| s.call.is_some()).map(|s| s.at + self.timeout);
-                    let next = next.or(oldest.map(|at| at.max(stream.heard) + SILENT));
+                    let next = next.or(oldest.map(|at| at.max(stream.heard) + stream.patience));
                     armed = next.is_some();
                     next.into_iter().for_each(|at| due.as_mut().reset(self.clock.instant(at)));
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod log;
 pub mod module;
 pub mod peers;
+pub mod room;
 
 use std::process::ExitCode;
 
