--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -141,10 +141,14 @@
                     let mut stream = Stream { heard: began, patience, ..Stream::default() };
                     waiting.drain(..).for_each(|call| stream.encode(call));
                     let why = self.talk(socket, &mut stream).await;
-                    for s in std::mem::take(&mut stream.sent) {
-                        // What came spoilt was added, like the rest that was written may have been.
-                        let written = s.end <= stream.written;
-                        let outcome = if written { Outcome::TimedOut } else { Outcome::ConnectFailed };
+                    let spoilt = matches!(&why, Some(Left::Broken(e)) if e.kind() == ErrorKind::InvalidData);
+                    for (n, s) in std::mem::take(&mut stream.sent).into_iter().enumerate() {
+                        let outcome = match s.end <= stream.written {
+                            // Answered, so added, though how much is there by now can't be read.
+                            true if spoilt && n == 0 => Outcome::Failed,
+                            true => Outcome::TimedOut,
+                            false => Outcome::ConnectFailed,
+                        };
                         self.tell(s.call, outcome, 0.0).await;
                     }
                     let mute = stream.heard == began;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,8 +7,7 @@
 //! The design (docs/design.md): an invocation adds its units to its customer's count of the running
 //! slot on the counter, the slots inside the sliding window are summed, and it is throttled if the sum
 //! passes the burst, its add then undone. Beside the design stand six mechanisms:
-//!  1. doubt: how often the counter is asked follows how it answers, near quotas first; else the others' use
-//!     is guessed by their pace, from all that was seen of it
+//!  1. doubt: the counter is asked as it answers, near quotas first; else the others' pace is the guess
 //!  2. repair: own admitted units are a lower bound; what the counter lacks goes in with the next add
 //!  3. places: work waits in line here; the fleet's places, each gateway's part of them, follow its answers
 //!  4. early end: what can't be answered within its latency objective is given up at once
@@ -23,8 +22,7 @@
 
 use crate::interface::*;
 
-/// Gateways of a customer up to which its window is two slots, else one: where few invocations come in at
-/// each, reads would outnumber adds, and a call has to tell as much of the window as it can.
+/// Gateways of a customer up to which its window is two slots, else one: reads would outnumber adds.
 const CUT_SPREAD: u32 = 4;
 /// The counter keeps a name for 60 s at most; names outlive the window by this many slots.
 const KEEP: u64 = 3;
@@ -51,8 +49,7 @@
 const ASK_LEAST: f64 = 0.05;
 /// Asking falls by this at a failed call: out in twenty; few are lost where a counter is too small for good.
 const ASK_FALLS: f64 = 0.85;
-/// It grows by this at a prompt call, times those in a row, by the latter at most: little while late ones
-/// come in between, back in two dozen after an outage, not all gateways together.
+/// It grows by this at a prompt call, times those in a row, by the latter at most: back in two dozen.
 const ASK_GROWS: f64 = 0.02;
 const ASK_JUMPS: f64 = 1.35;
 /// A call answered later than this part of its time-out stood in line.
@@ -65,8 +62,7 @@
 const PLACES_MOST: f64 = 60.0;
 /// Places fall by this in about an answer's time while answers are slow, and grow by one at ease.
 const PLACES_FALL: f64 = 0.8;
-/// Places grow while answers take less than this part of the latency objective, and fall beyond: quick enough
-/// to leave room for a line and another go. A time "at ease" can't be learned on days that begin under load.
+/// Places grow while answers take less than this part of the objective, and fall beyond: room for another go.
 const ENOUGH: f64 = 0.1;
 /// A refusal moves a plan's part turned away this far to all, an answer this far back.
 const FULL_STEP: f64 = 0.5;
@@ -261,6 +257,7 @@
     due: BTreeSet<(Duration, Due)>,
     armed: Option<Duration>,
     ask: f64,
+    fell: Duration,
     prompt: f64,
     places: f64,
     lat: Hist,
@@ -283,6 +280,7 @@
             due: BTreeSet::new(),
             armed: None,
             ask: 1.0,
+            fell: now,
             prompt: 0.0,
             places: PLACES_START,
             lat: Hist::default(),
@@ -525,8 +523,12 @@
         // A crowded counter works on calls that nobody waits for: follow its line, not only failures.
         let prompt = ok && latency < timeout.mul_f64(ASK_PROMPT);
         self.prompt = if prompt { self.prompt + 1.0 } else { 0.0 };
-        let step = if ok { (1.0 + ASK_GROWS * self.prompt).min(ASK_JUMPS) } else { ASK_FALLS };
-        self.ask = (self.ask * step).clamp(ASK_LEAST, 1.0);
+        // Calls out together that fail are one failure, for a dead connection takes all of them along; one
+        // that was answered, though not to be read, is none. Else each break costs a second of guesses.
+        let falls = !ok && call.at >= self.fell && outcome != Outcome::Failed;
+        self.fell = if falls { self.now } else { self.fell };
+        let grows = if ok { (1.0 + ASK_GROWS * self.prompt).min(ASK_JUMPS) } else { 1.0 };
+        self.ask = (self.ask * if falls { ASK_FALLS } else { grows }).clamp(ASK_LEAST, 1.0);
         let Some(c) = self.customers.get(&call.customer) else { return };
         let last = ok && call.read && self.settled(c, call.slot, call.at);
         let c = self.customers.get_mut(&call.customer).expect("seen above");
@@ -744,8 +746,7 @@
             let lat = tgt.lat.mean(usual);
             let tried = inv.deliveries.iter().any(|d| d.tgt == t);
             let taken = 1.0 - tgt.full.get(&inv.plan).copied().unwrap_or(0.0);
-            // The less of a backend is this gateway's, the less its own deliveries tell of the load there:
-            // then the choice is by lot, or hundreds that know as little would all choose the same.
+            // The less of a backend is this gateway's, the more it is by lot: hundreds that know as little.
             let lot = (-self.rng.random::<f64>().max(EPS).ln()).powf(1.0 / (1.0 + part));
             let cost = lat * lot * (f64::from(tgt.out) + 1.0) / tgt.entry.weight.max(0.1)
                 * if tried { 100.0 } else { 1.0 / taken.powi(2) };
