--- a/crates/gateway/tests/sockets/main.rs
+++ b/crates/gateway/tests/sockets/main.rs
@@ -587,6 +587,31 @@
     drop(idle);
 }
 
+/// Killed for its memory, a gateway loses all that it holds.
+#[test]
+fn with_every_place_at_its_largest_the_memory_holds() {
+    let (ended, _over) = channel();
+    let backend = backend(move |_| Does::Hangs(ended.clone()));
+    let (mut config, list) = config(&[("s-1", backend.at)], None);
+    config["limits"]["memory_mb"] = json!(32);
+    config["settings"]["request-classes"][0]["idempotency"] = json!("dedup");
+    let gateway = start(&config, list);
+    let long = format!("X-Long: {}\r\nContent-Length: 65536\r\n", "y".repeat(14_000));
+    let text = request("/tile", &long).replace("GET", "POST") + &"x".repeat(65_536);
+    let mut held = Vec::new();
+    for n in 0..160 {
+        let mut socket = connect(gateway.at);
+        let text = text.replace("9b1f03aa5c7e2d41", &format!("{n:016x}"));
+        socket.get_mut().write_all(text.as_bytes()).ok();
+        held.push(socket);
+    }
+    assert!(matches!(ask(gateway.at, &request("/tile", "")).status(), 400 | 503));
+    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.child.id())).unwrap();
+    let kb = status.lines().find_map(|l| l.strip_prefix("RssAnon:")?.trim().strip_suffix(" kB"));
+    let kb: u32 = kb.unwrap().parse().unwrap();
+    assert!((4_000..32_000).contains(&kb), "{kb} kB");
+}
+
 #[test]
 fn without_descriptors_a_gateway_waits_for_some() {
     let backend = serves("");
