--- a/src/rules.rs
+++ b/src/rules.rs
@@ -870,19 +870,13 @@
         }
     }
 
-    /// Settled units: the difference goes to the running slot.
+    /// Settled units: the difference goes to the running slot, and rides on the next add there.
     fn settle(&mut self, id: InvId, units: f64) {
-        let Some(inv) = self.invs.get(&id) else { return };
-        let (customer, plan, diff) = (inv.customer.clone(), inv.plan, units - inv.units);
-        if diff.abs() < EPS || !inv.admitted || !self.metered(plan) {
-            return;
-        }
+        let Some(inv) = self.invs.get(&id).filter(|i| i.admitted && self.metered(i.plan)) else { return };
+        let (customer, diff) = (inv.customer.clone(), units - inv.units);
         let slot = self.slot_of(&self.customers[&customer]);
         let s = self.customers.get_mut(&customer).expect("has an invocation").slots.entry(slot).or_default();
         s.own += diff;
-        if self.set.counter.is_some() {
-            self.call(customer, slot, diff, None, false);
-        }
     }
 
     /// No delivery is out: back into the line if a further one can still be of use, else a final answer.
