A cap on deliveries out is held by the shared count, up at the add and down at the end

Lines at fault: metered() let such plans pass uncounted, capped() gave each gateway one at least. Now: one name a customer for slots as long as the longest integration timeout, +1 asked, -1 when it is over. Usual use is learned by plan and repeat. Line judged by the gateway's places, not by what is out.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -41,6 +41,10 @@
 /// Part of the rate that an unknown customer is taken to use, and that guess's weight in mean invocations.
 const USUAL_FIRST: f64 = 0.5;
 const USUAL_UNITS: f64 = 1.5;
+/// Told totals that the usual use of a plan's customers is taken over: a gateway hears a few a second.
+const USUAL_OVER: f64 = 50.0;
+/// Deliveries over which the time that one stays out is taken.
+const STAY_OVER: f64 = 50.0;
 /// The others hold to the quota too: what they admit is guessed up to this part of the rate, for bursts.
 const PACE_MOST: f64 = 1.5;
 /// Part of guessed units by which a window may be over, times (earned inside / cost beyond - 1).
@@ -167,6 +171,8 @@
     oldest: u64,
     learned: u64,
     /// Units seen of late, and the slots they were seen in: a told one whole, else this gateway's share.
+    /// Mean units that one draws.
+    mean: f64,
     units: f64,
     span: f64,
     own_seen: f64,
@@ -195,6 +201,8 @@
     told: Invocation,
     arrived: Duration,
     slot: u64,
+    /// Units that it draws from its customer's quota.
+    draws: f64,
     /// Its units are in the slot's `asking`, then in `own` once admitted.
     added: bool,
     admitted: bool,
@@ -261,6 +269,10 @@
     prompt: f64,
     places: f64,
     lat: Hist,
+    /// Seconds that a delivery stays out, of late.
+    stay: f64,
+    /// By plan, and by whether a client's repeat asked: part of the quota seen in use, and slots it was seen in.
+    usual: Vec<[(f64, f64); 2]>,
     copies: f64,
     flow: (Duration, f64, f64),
 }
@@ -284,6 +296,8 @@
             prompt: 0.0,
             places: PLACES_START,
             lat: Hist::default(),
+            stay: set.operations.iter().map(|o| o.latency_objective.as_secs_f64() / 8.0).fold(1.0, f64::min),
+            usual: vec![[(USUAL_FIRST, 1.0); 2]; set.plans.len()],
             copies: 0.0,
             flow: (now, 0.0, 0.0),
             set,
@@ -343,7 +357,20 @@
     }
 
     fn metered(&self, plan: PlanId) -> bool {
-        self.set.plans.get(plan.0).is_some_and(|p| p.rate > 0.0 && p.burst > 0.0)
+        self.set.plans.get(plan.0).is_some_and(|p| p.rate > 0.0 && p.burst > 0.0 || p.max_out > 0.0)
+    }
+
+    /// Whether a plan's only quota is a cap on deliveries out at once. It is counted as a rate is, but in
+    /// slots as long as any delivery stays out, and each that ends takes its one off again: two slots hold
+    /// all that is out, and what a killed gateway never took off is forgotten with its slot.
+    fn open(&self, plan: PlanId) -> bool {
+        self.set.plans.get(plan.0).is_some_and(|p| p.rate == 0.0 && p.max_out > 0.0)
+    }
+
+    /// Units that a customer may use in a window.
+    fn burst(&self, plan: PlanId) -> f64 {
+        let p = &self.set.plans[plan.0];
+        if self.open(plan) { p.max_out } else { p.burst }
     }
 
     fn arrived(&mut self, told: Invocation) {
@@ -357,9 +384,16 @@
         let metered = self.metered(inv.plan);
         let (customer, units, plan, again) = (inv.customer.clone(), inv.units, inv.plan, inv.repeat);
         if let Some(p) = self.set.plans.get(plan.0) {
+            let burst = self.burst(plan);
             // The same at all gateways of the customer, or they would count under different names.
             let cut = if spread > CUT_SPREAD { 1 } else { 2 };
-            let window = if metered { p.burst / p.rate } else { 1.0 };
+            let open = self.open(plan);
+            let longest = self.set.operations.iter().map(|o| o.integration_timeout).max().unwrap_or_default();
+            let (cut, window) = match open {
+                true => (1, longest.as_secs_f64()),
+                false => (cut, if metered { p.burst / p.rate } else { 1.0 }),
+            };
+            inv.draws = if open { 1.0 } else { units };
             let len = (window / cut as f64).clamp(self.set.tick.as_secs_f64().max(1e-3), SLOT_MOST);
             let slot = (self.now.as_secs_f64() / len) as u64;
             let part = if inside { 1.0 / f64::from(spread) } else { 0.0 };
@@ -368,9 +402,10 @@
                 plan,
                 cut,
                 len,
-                debt: p.burst,
+                debt: burst,
                 oldest: slot.saturating_sub(2 * cut),
                 learned: slot,
+                mean: if p.rate > 0.0 { (1.0 + self.set.most_units) / 2.0 } else { 1.0 },
                 // A restart must not hand out the ceiling's store again: a life earns its part from nothing.
                 ceiling: (p.ceiling_rate * lived).min(p.ceiling_burst) * part,
                 ceiling_at: self.now,
@@ -380,6 +415,7 @@
             c.held += 1;
             inv.slot = (self.now.as_secs_f64() / c.len) as u64;
         }
+        let units = inv.draws;
         self.invs.insert(id, inv);
         if !metered {
             self.invs.get_mut(&id).expect("just made").admitted = true;
@@ -390,13 +426,13 @@
         // A client's next try asks for nothing more; where it isn't flagged, refusals show as a surge.
         c.slots.entry(self.invs[&id].slot).or_default().came += if again { 0.0 } else { units };
         // Known to be full, or no room in the line: refused early, without calls that are then undone.
-        let (c, burst) = (&self.customers[&customer], self.set.plans[plan.0].burst);
+        let (c, burst) = (&self.customers[&customer], self.burst(plan));
         let told = c.slots.get(&self.invs[&id].slot).map_or(Duration::ZERO, |s| s.told);
         let known = self.ask < ASK_READS || self.now < told + FULL_FOR;
         if known && self.sum(c, 0.0) + units > burst + EPS || self.pressed(id) {
             return self.throttle(id);
         }
-        let near = (self.sum(c, self.pace(c)) + units) / burst;
+        let near = (self.sum(c, self.pace(c, again)) + units) / burst;
         let ask = self.ask.powf(near.max(1.0 / near));
         if self.set.counter.is_none() || self.rng.random::<f64>() >= ask {
             return self.verdict(id, false);
@@ -432,6 +468,12 @@
         let Some(c) = self.customers.get(customer) else { return };
         let (slot, len, p) = (self.slot_of(c), c.len, &self.set.plans[c.plan.0]);
         let (burst, refill) = (p.burst, p.rate * len);
+        if self.open(c.plan) {
+            let c = self.customers.get_mut(customer).expect("seen above");
+            c.slots.retain(|k, _| *k + 1 >= slot);
+            (c.oldest, c.learned) = (slot.saturating_sub(1), slot);
+            return;
+        }
         let fade = (-len / MEMORY.as_secs_f64()).exp();
         let gone = slot.saturating_sub(c.learned).min(GONE);
         let c = self.customers.get_mut(customer).expect("seen above");
@@ -466,17 +508,35 @@
         (c.units, c.span) = (c.units + used * rate * c.len, c.span + 1.0);
     }
 
+    /// What a customer of the plan uses, as those show that ask: of nobody else is there anything to know.
+    fn learn_usual(&mut self, id: InvId, total: f64) {
+        let inv = &self.invs[&id];
+        let c = &self.customers[&inv.customer];
+        let run = (self.now.as_secs_f64() / c.len - inv.slot as f64).min(1.0);
+        let p = &self.set.plans[inv.plan.0];
+        let (whole, run) = if self.open(inv.plan) { (p.max_out, 1.0) } else { (p.rate * c.len, run) };
+        let used = ((total - inv.draws) / whole).clamp(0.0, PACE_MOST * run);
+        let u = &mut self.usual[inv.plan.0][usize::from(inv.repeat)];
+        let keeps = 1.0 - 1.0 / USUAL_OVER;
+        *u = (u.0 * keeps + used, u.1 * keeps + run);
+    }
+
     /// Units a slot that come in at all gateways, by what was seen of late and by the usual.
-    fn pace(&self, c: &Customer) -> f64 {
-        let p = &self.set.plans[c.plan.0];
-        let usual = USUAL_FIRST * p.rate * c.len;
-        let weight = USUAL_UNITS * (1.0 + self.set.most_units) / 2.0;
+    fn pace(&self, c: &Customer, again: bool) -> f64 {
+        let (p, (seen, span)) = (&self.set.plans[c.plan.0], self.usual[c.plan.0][usize::from(again)]);
+        let (burst, rate) = (p.burst, p.rate * c.len);
+        let usual = (seen / span).clamp(0.01, PACE_MOST);
+        if self.open(c.plan) {
+            return usual * p.max_out;
+        }
+        let usual = usual * rate;
+        let weight = USUAL_UNITS * c.mean;
         let (at, none) = (self.now.as_secs_f64() / c.len, Slot::default());
         let s = c.slots.get(&(at as u64)).unwrap_or(&none);
         let told = s.part(at as u64, c.len, at.fract());
         let units = weight + c.units + s.own.max(s.came) + s.others;
-        let slots = weight / usual + c.span + told + c.share(p.burst) * (at.fract() - told);
-        (units / slots).min(PACE_MOST * p.rate * c.len)
+        let slots = weight / usual + c.span + told + c.share(burst) * (at.fract() - told);
+        (units / slots).min(PACE_MOST * rate)
     }
 
     /// Units in the customer's window as far as known, with others at this `pace` where nothing was told.
@@ -485,15 +545,27 @@
         let p = &self.set.plans[c.plan.0];
         let (len, at, share) = (c.len, self.now.as_secs_f64() / c.len, c.share(p.burst));
         let slot = at as u64;
+        if self.open(c.plan) {
+            // What was told ends as deliveries do; the usual number comes in its place.
+            let left = |since: Duration| (-self.now.saturating_sub(since).as_secs_f64() / self.stay).exp();
+            let start = Duration::from_secs_f64(slot as f64 * len);
+            let all = c.slots.range(slot.saturating_sub(1)..);
+            let known: f64 = all.map(|(_, s)| s.own.max(0.0) + s.others.max(0.0) * left(s.told)).sum();
+            let told =
+                |k: u64| c.slots.get(&k).filter(|s| !s.told.is_zero()).map_or(1.0, |s| 1.0 - left(s.told));
+            let fresh = 1.0 - left(start);
+            return known
+                + pace
+                    * (told(slot).min(fresh)
+                        + if slot > 0 && told(slot - 1) == 1.0 { left(start) } else { 0.0 });
+        }
         let (mut window, mut debt, none) = (0.0, c.debt, Slot::default());
         for k in c.oldest..=slot {
             let s = c.slots.get(&k).unwrap_or(&none);
             let run = (at - k as f64).min(1.0);
             let used = s.own + s.others + pace * (1.0 - share) * (run - s.part(k, len, run));
-            if k + c.cut >= slot {
-                // The oldest slot slides out as the running one fills.
-                window += if k + c.cut == slot { used * (1.0 - at.fract()) } else { used };
-            }
+            // The oldest slot slides out as the running one fills.
+            window += used * ((k + 1 + c.cut) as f64 - at).clamp(0.0, 1.0);
             debt = (debt - p.rate * len * run).max(0.0) + used;
         }
         // A window longer than the counter remembers: only the replayed store bounds it.
@@ -541,6 +613,9 @@
             }
         }
         if let Some(id) = call.asks.filter(|id| self.invs.contains_key(id)) {
+            if ok {
+                self.learn_usual(id, total);
+            }
             self.verdict(id, ok);
         } else if call.read && !c.slots.values().any(|s| s.reading) {
             for id in std::mem::take(&mut c.waiting) {
@@ -554,11 +629,12 @@
     /// Decides; with a counter that answers, finished slots are read first where they can matter.
     fn verdict(&mut self, id: InvId, answered: bool) {
         let inv = &self.invs[&id];
-        let (customer, units, plan, slot) = (inv.customer.clone(), inv.units, inv.plan, inv.slot);
+        let (customer, units, plan, slot) = (inv.customer.clone(), inv.draws, inv.plan, inv.slot);
+        let again = inv.repeat;
         self.roll(&customer);
         let c = &self.customers[&customer];
-        let (burst, known) = (self.set.plans[plan.0].burst, self.sum(c, 0.0) + units);
-        let sum = self.sum(c, self.pace(c)) + units;
+        let (burst, known) = (self.burst(plan), self.sum(c, 0.0) + units);
+        let sum = self.sum(c, self.pace(c, again)) + units;
         if answered && self.ask >= ASK_READS && sum > UNREAD_UP_TO * burst {
             let reads = self.unread(c, if sum > burst { 0 } else { self.slot_of(c).saturating_sub(c.cut) });
             if !reads.is_empty() {
@@ -586,15 +662,16 @@
         self.enqueue(id);
     }
 
-    /// Takes back what an invocation added that was never sent on.
+    /// Takes back what an invocation added that was never sent on, or that is out no more.
     fn undo(&mut self, id: InvId) {
-        let Some(inv) = self.invs.get_mut(&id).filter(|i| i.deliveries.is_empty()) else { return };
-        let (customer, slot, units) = (inv.customer.clone(), inv.slot, inv.units);
+        let open = self.invs.get(&id).is_some_and(|i| self.open(i.plan));
+        let Some(inv) = self.invs.get_mut(&id).filter(|i| open || i.deliveries.is_empty()) else { return };
+        let (customer, slot, units) = (inv.customer.clone(), inv.slot, inv.draws);
         let (added, admitted) = (std::mem::take(&mut inv.added), std::mem::take(&mut inv.admitted));
         let Some(s) = self.customers.get_mut(&customer).and_then(|c| c.slots.get_mut(&slot)) else { return };
         s.own -= if admitted { units } else { 0.0 };
         s.asking -= if added && !admitted { units } else { 0.0 };
-        if added && s.put > s.own + s.asking + EPS {
+        if (added || open) && s.put > s.own + s.asking + EPS {
             let add = (s.own + s.asking - s.put).max(-units);
             self.call(customer, slot, add, None, false);
         }
@@ -610,7 +687,9 @@
             let retry_after = self.set.limits.retry_after.map(|most| {
                 let p = self.set.plans.get(inv.plan.0).filter(|p| p.rate > 0.0 && !inv.admitted);
                 let c = p.and_then(|p| Some((p, self.customers.get(&inv.customer)?)));
-                let over = c.map_or(0.0, |(p, c)| (self.sum(c, self.pace(c)) + inv.units - p.burst) / p.rate);
+                let over = c.map_or(0.0, |(p, c)| {
+                    (self.sum(c, self.pace(c, inv.repeat)) + inv.units - p.burst) / p.rate
+                });
                 Duration::from_secs_f64(over.max(self.expect(0.5, inv.op))).min(most)
             });
             self.out.push(Action::Throttle { inv: id, retry_after });
@@ -684,7 +763,7 @@
         let inv = &self.invs[&id];
         let left = self.objective(inv).saturating_sub(self.now).as_secs_f64();
         let busy = self.busy();
-        let wait = self.line.len() as f64 * self.lat.mean(0.0) / busy.max(1.0);
+        let wait = self.line.len() as f64 * self.lat.mean(0.0) / busy.max(self.all_places());
         // A client's next try runs on its first one's objective: while work waits, it goes last.
         let op = &self.set.operations[inv.op.0];
         let spent = op.integration_timeout.saturating_sub(inv.deadline.saturating_sub(inv.arrived));
@@ -759,7 +838,7 @@
 
     /// A plan's cap on deliveries out at once: this gateway's part of it, one at least.
     fn capped(&self, inv: &Inv) -> bool {
-        let plan = self.set.plans.get(inv.plan.0).filter(|p| p.max_out > 0.0);
+        let plan = self.set.plans.get(inv.plan.0).filter(|p| p.max_out > 0.0 && p.rate > 0.0);
         let Some(&Plan { max_out: cap, burst, .. }) = plan else { return false };
         let c = &self.customers[&inv.customer];
         f64::from(c.out) >= (cap * c.share(burst)).round().max(1.0)
@@ -829,6 +908,7 @@
 
     fn ended(&mut self, id: InvId, no: DeliveryNo, tgt: TgtId, outcome: Outcome, latency: Duration) {
         let Some(inv) = self.invs.get_mut(&id) else { return };
+        self.stay += (latency.as_secs_f64() - self.stay) / STAY_OVER;
         let (op, units, plan) = (inv.op.0, inv.units, inv.plan);
         let Some(d) = inv.deliveries.get_mut(no.0 as usize).filter(|d| d.out) else { return };
         (d.out, d.idle) = (false, outcome.never_ran());
@@ -872,7 +952,10 @@
 
     /// Settled units: the difference goes to the running slot, and rides on the next add there.
     fn settle(&mut self, id: InvId, units: f64) {
-        let Some(inv) = self.invs.get(&id).filter(|i| i.admitted && self.metered(i.plan)) else { return };
+        let Some(inv) = self.invs.get(&id).filter(|i| i.admitted && self.set.plans[i.plan.0].rate > 0.0)
+        else {
+            return;
+        };
         let (customer, diff) = (inv.customer.clone(), units - inv.units);
         let slot = self.slot_of(&self.customers[&customer]);
         let s = self.customers.get_mut(&customer).expect("has an invocation").slots.entry(slot).or_default();
