--- a/src/rules.rs
+++ b/src/rules.rs
@@ -68,6 +68,10 @@
 const PLACES_FALL: f64 = 0.8;
 /// Places grow while answers take less than this part of the objective, and fall beyond: room for another go.
 const ENOUGH: f64 = 0.1;
+/// Where work itself takes longer, up to this many times what a quarter of answers keep to at ease (about
+/// twice the mean of uneven work); that grows by this at an answer, for fleets change.
+const AT_EASE: f64 = 3.0;
+const EASE_GROWS: f64 = 1.0005;
 /// A refusal moves a plan's part turned away this far to all, an answer this far back.
 const FULL_STEP: f64 = 0.5;
 /// A backend that refuses connections is tried again after this, doubled at each failure up to the most.
@@ -268,7 +272,8 @@
     fell: Duration,
     prompt: f64,
     places: f64,
-    lat: Hist,
+    /// Answers' times by operation, and the lowest that a quarter of them kept to: the time at ease.
+    lat: Vec<(Hist, f64)>,
     /// Seconds that a delivery stays out, of late.
     stay: f64,
     /// By plan, and by whether a client's repeat asked: part of the quota seen in use, and slots it was seen in.
@@ -295,7 +300,7 @@
             fell: now,
             prompt: 0.0,
             places: PLACES_START,
-            lat: Hist::default(),
+            lat: set.operations.iter().map(|_| (Hist::default(), f64::INFINITY)).collect(),
             stay: set.operations.iter().map(|o| o.latency_objective.as_secs_f64() / 8.0).fold(1.0, f64::min),
             usual: vec![[(USUAL_FIRST, 1.0); 2]; set.plans.len()],
             copies: 0.0,
@@ -751,7 +756,14 @@
 
     /// Seconds that an answer takes by this quantile of late; a part of the objective before any came.
     fn expect(&self, q: f64, op: OpId) -> f64 {
-        self.lat.quantile(q).unwrap_or(self.set.operations[op.0].latency_objective.as_secs_f64() / 8.0)
+        self.lat[op.0]
+            .0
+            .quantile(q)
+            .unwrap_or(self.set.operations[op.0].latency_objective.as_secs_f64() / 8.0)
+    }
+
+    fn mean(&self, op: OpId) -> f64 {
+        self.lat[op.0].0.mean(self.expect(0.5, op))
     }
 
     fn objective(&self, inv: &Inv) -> Duration {
@@ -763,7 +775,7 @@
         let inv = &self.invs[&id];
         let left = self.objective(inv).saturating_sub(self.now).as_secs_f64();
         let busy = self.busy();
-        let wait = self.line.len() as f64 * self.lat.mean(0.0) / busy.max(self.all_places());
+        let wait = self.line.len() as f64 * self.mean(inv.op) / busy.max(self.all_places());
         // A client's next try runs on its first one's objective: while work waits, it goes last.
         let op = &self.set.operations[inv.op.0];
         let spent = op.integration_timeout.saturating_sub(inv.deadline.saturating_sub(inv.arrived));
@@ -806,7 +818,7 @@
     /// The best backend with a free place that this invocation may go to.
     fn choose(&mut self, id: InvId) -> Option<TgtId> {
         let inv = &self.invs[&id];
-        let usual = self.lat.mean(self.expect(0.5, inv.op));
+        let usual = self.mean(inv.op);
         let part = self.places / f64::from(self.set.gateways.max(1));
         let mut best: Option<(f64, TgtId)> = None;
         for (&t, tgt) in &self.tgts {
@@ -916,16 +928,21 @@
         let ready = |t: &&Tgt| t.entry.health == Health::Up && self.warmth(&t.entry) >= 1.0;
         let warm = self.tgts.get(&tgt).is_some_and(|t| ready(&t));
         let fleet = self.tgts.values().filter(ready).count().max(1) as f64;
-        let aim = self.set.operations[op].latency_objective.mul_f64(ENOUGH);
+        let aim = self.set.operations[op].latency_objective.as_secs_f64() * ENOUGH;
+        let aim = if self.lat[op].1 < f64::INFINITY { aim.max(AT_EASE * self.lat[op].1) } else { aim };
         if outcome == Outcome::Ok {
-            let step = if latency > aim { (PLACES_FALL - 1.0) * self.places } else { 1.0 };
+            let step = if latency.as_secs_f64() > aim { (PLACES_FALL - 1.0) * self.places } else { 1.0 };
             self.places = (self.places + step / self.all_places()).clamp(PLACES_LEAST, PLACES_MOST);
         }
         if let Some(t) = self.tgts.get_mut(&tgt) {
             t.out -= 1;
             match outcome {
                 Outcome::Ok => {
-                    self.lat.note(latency, FLEET_SAMPLES);
+                    let (all, ease) = &mut self.lat[op];
+                    all.note(latency, FLEET_SAMPLES);
+                    if all.0.iter().sum::<f64>() >= TGT_SAMPLES {
+                        *ease = (*ease * EASE_GROWS).min(all.quantile(0.25).unwrap_or(*ease));
+                    }
                     t.lat.note(latency, TGT_SAMPLES);
                     t.fails = 0;
                     t.full.get_mut(&plan).into_iter().for_each(|f| *f *= FULL_STEP);
