--- a/src/rules.rs
+++ b/src/rules.rs
@@ -58,6 +58,8 @@
 const ASK_JUMPS: f64 = 1.35;
 /// A call answered later than this part of its time-out stood in line.
 const ASK_PROMPT: f64 = 0.3;
+/// What is at stake counts up to this far from the mean for who may ask: none is never asked for.
+const STAKE_MOST: f64 = 5.0;
 /// Reads are left out below this chance of asking: a crowded counter's calls are for adds.
 const ASK_READS: f64 = 0.95;
 /// Places of a backend at all gateways together: at first, least (a few cores' worth), most reckoned with.
@@ -274,6 +276,7 @@
     places: f64,
     /// Answers' times by operation, and the lowest that a quarter of them kept to: the time at ease.
     lat: Vec<(Hist, f64)>,
+    worth: f64,
     /// Seconds that a delivery stays out, of late.
     stay: f64,
     /// By plan, and by whether a client's repeat asked: part of the quota seen in use, and slots it was seen in.
@@ -301,6 +304,7 @@
             prompt: 0.0,
             places: PLACES_START,
             lat: set.operations.iter().map(|_| (Hist::default(), f64::INFINITY)).collect(),
+            worth: 0.0,
             stay: set.operations.iter().map(|o| o.latency_objective.as_secs_f64() / 8.0).fold(1.0, f64::min),
             usual: vec![[(USUAL_FIRST, 1.0); 2]; set.plans.len()],
             copies: 0.0,
@@ -438,7 +442,9 @@
             return self.throttle(id);
         }
         let near = (self.sum(c, self.pace(c, again)) + units) / burst;
-        let ask = self.ask.powf(near.max(1.0 / near));
+        // And those first for which a wrong verdict costs most.
+        let stake = self.stake(id);
+        let ask = self.ask.powf(near.max(1.0 / near) / stake);
         if self.set.counter.is_none() || self.rng.random::<f64>() >= ask {
             return self.verdict(id, false);
         }
@@ -451,6 +457,14 @@
         self.call(customer, self.invs[&id].slot, add, Some(id), false);
     }
 
+    /// What an invocation earns, beside the mean of those that came of late.
+    fn stake(&mut self, id: InvId) -> f64 {
+        let inv = &self.invs[&id];
+        let worth = self.set.operations[inv.op.0].billed_value * self.set.plans[inv.plan.0].price * inv.units;
+        self.worth += (worth - self.worth) / if self.worth > 0.0 { USUAL_OVER } else { 1.0 };
+        (worth / self.worth.max(EPS)).clamp(1.0 / STAKE_MOST, STAKE_MOST)
+    }
+
     fn call(&mut self, customer: CustomerId, slot: u64, add: f64, asks: Option<InvId>, read: bool) {
         let c = self.customers.get_mut(&customer).expect("is counted for");
         let keep = Duration::from_secs_f64(c.len * (2 * c.cut + KEEP) as f64).min(KEEP_MOST);
