--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,11 +36,11 @@
 /// A window told full is not asked about again for this long: add and undo would be calls for nothing.
 const FULL_FOR: Duration = Duration::from_millis(100);
 /// What was seen of a customer's pace fades over this, in so many slots at most: spikes pass, heavy stay.
-const MEMORY: Duration = Duration::from_secs(20);
+const MEMORY: Duration = Duration::from_secs(60);
 const GONE: u64 = 60;
 /// Part of the rate that an unknown customer is taken to use, and that guess's weight in mean invocations.
 const USUAL_FIRST: f64 = 0.5;
-const USUAL_UNITS: f64 = 1.5;
+const USUAL_UNITS: f64 = 0.5;
 /// Told totals that the usual use of a plan's customers is taken over: a gateway hears a few a second.
 const USUAL_OVER: f64 = 50.0;
 /// Deliveries over which the time that one stays out is taken.
@@ -277,6 +277,8 @@
     /// Answers' times by operation, and the lowest that a quarter of them kept to: the time at ease.
     lat: Vec<(Hist, f64)>,
     worth: f64,
+    /// Mean units of an invocation of late.
+    units: f64,
     /// Seconds that a delivery stays out, of late.
     stay: f64,
     /// By plan, and by whether a client's repeat asked: part of the quota seen in use, and slots it was seen in.
@@ -305,6 +307,7 @@
             places: PLACES_START,
             lat: set.operations.iter().map(|_| (Hist::default(), f64::INFINITY)).collect(),
             worth: 0.0,
+            units: (1.0 + set.most_units) / 2.0,
             stay: set.operations.iter().map(|o| o.latency_objective.as_secs_f64() / 8.0).fold(1.0, f64::min),
             usual: vec![[(USUAL_FIRST, 1.0); 2]; set.plans.len()],
             copies: 0.0,
@@ -403,6 +406,7 @@
                 false => (cut, if metered { p.burst / p.rate } else { 1.0 }),
             };
             inv.draws = if open { 1.0 } else { units };
+            self.units += (units - self.units) / USUAL_OVER;
             let len = (window / cut as f64).clamp(self.set.tick.as_secs_f64().max(1e-3), SLOT_MOST);
             let slot = (self.now.as_secs_f64() / len) as u64;
             let part = if inside { 1.0 / f64::from(spread) } else { 0.0 };
@@ -414,7 +418,7 @@
                 debt: burst,
                 oldest: slot.saturating_sub(2 * cut),
                 learned: slot,
-                mean: if p.rate > 0.0 { (1.0 + self.set.most_units) / 2.0 } else { 1.0 },
+                mean: if open { 1.0 } else { self.units },
                 // A restart must not hand out the ceiling's store again: a life earns its part from nothing.
                 ceiling: (p.ceiling_rate * lived).min(p.ceiling_burst) * part,
                 ceiling_at: self.now,
