--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -43,6 +43,8 @@
     pub backends: usize,
     /// Bytes of requests' bodies at most, and of answers larger than a body, for each of both.
     pub bodies: usize,
+    /// What the settings rely on and no page of the socket protocol brings, a line each.
+    pub notes: Vec<String>,
 }
 
 #[derive(Deserialize)]
@@ -90,6 +92,7 @@
         let seed = raw.seed.ok_or("seed: missing")?;
         let facts: Facts = named(raw.settings).map_err(|e| format!("settings.{e}"))?;
         check(&facts)?;
+        let notes = notes(&facts);
         let settings = damsonbeam_settings::settings(&facts).map_err(|e| format!("settings: {e}"))?;
         let counter = some("counter", &raw.counter)?;
         if settings.counter.is_some() && counter.is_none() {
@@ -122,6 +125,7 @@
             clients,
             backends,
             bodies: quarter,
+            notes,
         })
     }
 }
@@ -153,8 +157,55 @@
             ));
         }
     }
-    match facts.plans.iter().position(|p| p.name.is_empty()) {
-        Some(i) => Err(format!("settings.plans[{i}].name: missing")),
+    for (i, c) in facts.request_classes.iter().enumerate() {
+        let figures = [("importance", c.importance), ("late-worth", c.late_worth)];
+        figure(&format!("settings.request-classes[{i}]"), &figures)?;
+    }
+    figure(
+        "settings.domain",
+        &[("most-units", facts.domain.most_units), ("call-price", facts.domain.call_price)],
+    )?;
+    for (i, p) in facts.plans.iter().enumerate() {
+        let at = format!("settings.plans[{i}]");
+        if p.name.is_empty() {
+            return Err(format!("{at}.name: missing"));
+        }
+        let figures = [
+            ("quota-rate", p.quota_rate),
+            ("store-size", p.store_size),
+            ("max-out", p.max_out),
+            ("cap-rate", p.cap_rate),
+            ("never-over-depth", p.never_over_depth),
+            ("hard-slack", p.hard_slack),
+            ("value-factor", p.value_factor),
+            ("excess-worth", p.excess_worth),
+            ("overrun-cost", p.overrun_cost),
+        ];
+        figure(&at, &figures)?;
+        // Each pair means one thing: with half of it nothing would be held, or nothing let in.
+        if (p.quota_rate > 0.0) != (p.store_size > 0.0) {
+            return Err(format!("{at}.store-size: needed with quota-rate, and only with it"));
+        }
+        if (p.cap_rate > 0.0) != (p.never_over_depth > 0.0) {
+            return Err(format!("{at}.never-over-depth: needed with cap-rate, and only with it"));
+        }
+    }
+    Ok(())
+}
+
+fn figure(at: &str, figures: &[(&str, f64)]) -> Result<(), String> {
+    match figures.iter().find(|(_, f)| !f.is_finite() || *f < 0.0) {
+        Some((key, f)) => Err(format!("{at}.{key}: {f} is no figure from 0 on")),
         None => Ok(()),
     }
 }
+
+/// The decisions are sound without these; the socket protocol has no page for them, and none is guessed.
+fn notes(facts: &Facts) -> Vec<String> {
+    let absent = [
+        (facts.domain.settles, "domain.settles: answers tell no true units here, the guesses stand"),
+        (facts.domain.meter_ns > 0, "domain.meter-ns: answers tell no use here, the counter alone does"),
+        (facts.report.how == "on_probe", "report.how: no probe is sent here, so no load is reported"),
+    ];
+    absent.iter().filter(|(is, _)| *is).map(|(_, what)| format!("settings.{what}")).collect()
+}
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -95,6 +95,7 @@
     /// From start to exit.
     pub async fn run(self: Rc<Self>, config: Config) -> Result<(), String> {
         let name = config.name.clone();
+        config.notes.iter().for_each(|note| log!("not-on-sockets", "{note}"));
         let mut running = self.start(config).await?;
         loop {
             self.enter(Stage::Serving, &name);
--- a/crates/gateway/tests/sockets/main.rs
+++ b/crates/gateway/tests/sockets/main.rs
@@ -670,3 +670,22 @@
     assert!((1..=10).contains(&passed));
     assert_eq!(site.pass(start + Duration::from_secs(1)), Some(100 - passed as u32));
 }
+
+/// The move: a file of the old shape, carried over, serves; and so does the old one after it.
+#[test]
+fn a_migrated_file_starts_a_gateway_that_answers_and_the_old_one_takes_it_back() {
+    let backend = serves("here");
+    let (counter, calls) = counter(|_, _| "ok 1\r\n".into());
+    let (old, list) = config(&[("s-1", backend.at)], Some(counter));
+    let mut shape = old.clone();
+    shape["settings"]["plans"] = json!([{"name": "basic", "max-out": 2, "overrun-cost": 0.6}]);
+    shape["settings"]["domain"]["settles"] = json!(true);
+    let done = damsonbeam_migrate::migrate(&old.to_string(), &shape.to_string()).unwrap();
+    assert!(done.notes.iter().any(|n| n.contains("settings.plans")));
+    let new: Value = serde_json::from_str(&done.text).unwrap();
+    for config in [&new, &old] {
+        let gateway = start(config, list.clone());
+        assert_eq!(ask(gateway.at, &request("/tile", "")).status(), 200);
+    }
+    assert!(!calls.lock().unwrap().is_empty(), "what is out is counted");
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -88,6 +88,8 @@
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "kebab-case", default)]
 pub struct ReportFacts {
+    /// `inline`, `on_probe` or `off`; what else stands there is taken as `off`.
+    pub how: String,
     pub names: Vec<String>,
 }
 
