--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,11 +7,11 @@
 //! The design (docs/design.md): an invocation adds its units to its customer's count of the running
 //! slot on the counter, the slots inside the sliding window are summed, and it is throttled if the sum
 //! passes the burst, its add then undone. Beside the design stand six mechanisms:
-//!  1. doubt: the counter is asked as it answers, near quotas first; else the others' pace is the guess
+//!  1. doubt: the counter is asked as it answers, near quotas and dear ones first; else the pace is a guess
 //!  2. repair: own admitted units are a lower bound; what the counter lacks goes in with the next add
 //!  3. places: work waits in line here; the fleet's places, each gateway's part of them, follow its answers
 //!  4. early end: what can't be answered within its latency objective is given up at once
-//!  5. another go: further deliveries and second copies, only where rules, time and load leave room
+//!  5. another go: further deliveries and second copies, as rules, time and load allow; the silent are passed
 //!  6. warm-up: a fresh backend is passed over by chance and holds to this gateway's part of a budget
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -41,10 +41,8 @@
 /// Part of the rate that an unknown customer is taken to use, and that guess's weight in mean invocations.
 const USUAL_FIRST: f64 = 0.5;
 const USUAL_UNITS: f64 = 1.5;
-/// Told totals that the usual use of a plan's customers is taken over: a gateway hears a few a second.
+/// Told totals, or deliveries, that usual figures are taken over: a gateway meets a few a second.
 const USUAL_OVER: f64 = 50.0;
-/// Deliveries over which the time that one stays out is taken.
-const STAY_OVER: f64 = 50.0;
 /// The others hold to the quota too: what they admit is guessed up to this part of the rate, for bursts.
 const PACE_MOST: f64 = 1.5;
 /// Part of guessed units by which a window may be over, times (earned inside / cost beyond - 1).
@@ -107,8 +105,6 @@
 /// else tells of a backend that is passed over.
 const SILENT_STEP: f64 = 0.5;
 const SILENT_HALF: f64 = 5.0;
-/// A metered period counts as this many: it tells of all gateways and shows the customer's own swing.
-const METERED: f64 = 1.0;
 /// Deliveries out are whole and estimates of them are not: so far above a cap is not over it.
 const PART_OUT: f64 = 0.15;
 /// Sums of fractions are equal within this many units.
@@ -283,8 +279,8 @@
     places: f64,
     /// Answers' times by operation.
     lat: Vec<Hist>,
+    /// Mean worth and units of an invocation of late.
     worth: f64,
-    /// Mean units of an invocation of late.
     units: f64,
     /// Seconds that a delivery stays out, of late.
     stay: f64,
@@ -336,9 +332,7 @@
             Event::Outcome { inv, no, tgt, outcome, latency, closed, used, true_units, .. } => {
                 used.into_iter().for_each(|used| self.learn(inv, used));
                 self.ended(inv, no, tgt, outcome, latency);
-                if let Some(units) = true_units.filter(|_| self.set.settles) {
-                    self.settle(inv, units);
-                }
+                true_units.filter(|_| self.set.settles).into_iter().for_each(|u| self.settle(inv, u));
                 if closed { self.forget(inv) } else { self.again_or_end(inv) }
             }
             Event::Left { inv } => self.forget(inv),
@@ -407,10 +401,9 @@
             let burst = self.burst(plan);
             // The same at all gateways of the customer, or they would count under different names.
             let cut = if spread > CUT_SPREAD { 1 } else { 2 };
-            let open = self.open(plan);
-            let longest = self.set.operations.iter().map(|o| o.integration_timeout).max().unwrap_or_default();
-            let open_for = (1, longest.as_secs_f64());
-            let (cut, window) = if open { open_for } else { (cut, p.burst / p.rate.max(EPS)) };
+            let (open, ops) = (self.open(plan), self.set.operations.iter());
+            let longest = ops.map(|o| o.integration_timeout).max().unwrap_or_default().as_secs_f64();
+            let (cut, window) = if open { (1, longest) } else { (cut, p.burst / p.rate.max(EPS)) };
             inv.draws = if open { 1.0 } else { units };
             self.units += (units - self.units) / USUAL_OVER;
             let len = (window / cut as f64).clamp(self.set.tick.as_secs_f64().max(1e-3), SLOT_MOST);
@@ -453,8 +446,7 @@
         }
         let near = (self.sum(c, self.pace(c, again)) + units) / burst;
         // And those first for which a wrong verdict costs most.
-        let stake = self.stake(id);
-        let ask = self.ask.powf(near.max(1.0 / near) / stake);
+        let ask = self.ask.powf(near.max(1.0 / near) / self.stake(id));
         if self.set.counter.is_none() || self.rng.random::<f64>() >= ask {
             return self.verdict(id, false);
         }
@@ -534,21 +526,19 @@
         let Some(inv) = self.invs.get(&id).filter(|i| self.metered(i.plan)) else { return };
         let rate = self.set.plans[inv.plan.0].rate;
         let Some(c) = self.customers.get_mut(&inv.customer) else { return };
-        let part = (METERED * self.set.meter_period.as_secs_f64() / c.len).min(1.0);
+        let part = (self.set.meter_period.as_secs_f64() / c.len).min(1.0); // It tells of no longer.
         (c.units, c.span) = (c.units + used * rate * c.len * part, c.span + part);
     }
 
     /// What a customer of the plan uses, as those show that ask: of nobody else is there anything to know.
     fn learn_usual(&mut self, id: InvId, total: f64) {
         let inv = &self.invs[&id];
-        let c = &self.customers[&inv.customer];
-        let run = (self.now.as_secs_f64() / c.len - inv.slot as f64).min(1.0);
-        let p = &self.set.plans[inv.plan.0];
-        let (whole, run) = if self.open(inv.plan) { (p.max_out, 1.0) } else { (p.rate * c.len, run) };
+        let (p, len) = (&self.set.plans[inv.plan.0], self.customers[&inv.customer].len);
+        let run = (self.now.as_secs_f64() / len - inv.slot as f64).min(1.0);
+        let (whole, run) = if self.open(inv.plan) { (p.max_out, 1.0) } else { (p.rate * len, run) };
         let used = ((total - inv.draws) / whole).clamp(0.0, PACE_MOST * run);
         let u = &mut self.usual[inv.plan.0][usize::from(inv.repeat)];
-        let keeps = 1.0 - 1.0 / USUAL_OVER;
-        *u = (u.0 * keeps + used, u.1 * keeps + run);
+        *u = (u.0 - u.0 / USUAL_OVER + used, u.1 - u.1 / USUAL_OVER + run);
     }
 
     /// Units a slot that come in at all gateways, by what was seen of late and by the usual.
@@ -660,9 +650,8 @@
         let (burst, known) = (self.burst(plan), self.sum(c, 0.0) + units);
         let sum = self.sum(c, self.pace(c, again)) + units;
         // Of the slot before, what was out at its end is over soon.
-        let into = self.now.as_secs_f64() - slot as f64 * c.len;
-        let matters = !self.open(plan) || into < self.stay;
-        if answered && matters && self.ask >= ASK_READS && sum > UNREAD_UP_TO * burst {
+        let over = self.open(plan) && self.now.as_secs_f64() - slot as f64 * c.len > self.stay;
+        if answered && !over && self.ask >= ASK_READS && sum > UNREAD_UP_TO * burst {
             let reads = self.unread(c, if sum > burst { 0 } else { self.slot_of(c).saturating_sub(c.cut) });
             if !reads.is_empty() {
                 for k in reads {
@@ -714,9 +703,8 @@
             let retry_after = self.set.limits.retry_after.map(|most| {
                 let p = self.set.plans.get(inv.plan.0).filter(|p| p.rate > 0.0 && !inv.admitted);
                 let c = p.and_then(|p| Some((p, self.customers.get(&inv.customer)?)));
-                let over = c.map_or(0.0, |(p, c)| {
-                    (self.sum(c, self.pace(c, inv.repeat)) + inv.units - p.burst) / p.rate
-                });
+                let pace = |c| self.pace(c, inv.repeat);
+                let over = c.map_or(0.0, |(p, c)| (self.sum(c, pace(c)) + inv.units - p.burst) / p.rate);
                 Duration::from_secs_f64(over.max(self.expect(0.5, inv.op))).min(most)
             });
             self.out.push(Action::Throttle { inv: id, retry_after });
@@ -732,9 +720,7 @@
             if self.set.limits.cancel && !inv.started {
                 self.out.push(Action::Cancel { inv: id, no: DeliveryNo(no as u32) });
             }
-            if let Some(t) = self.tgts.get_mut(&d.tgt) {
-                t.out -= 1;
-            }
+            self.tgts.get_mut(&d.tgt).into_iter().for_each(|t| t.out -= 1);
         }
         if let Some(c) = self.customers.get_mut(&inv.customer) {
             c.held -= 1;
@@ -874,12 +860,10 @@
             }
             // Pushed over, it stays down: this gateway's part is earned by time, from a start by chance, so
             // that hundreds with less than one delivery each neither send one all at once nor none.
-            if warm < 1.0 && (self.credit(tgt, warm) < 0.0 || self.rng.random::<f64>() >= warm) {
-                continue;
-            }
-            // Work that can't be sent again least of all goes where it is likely to stay unanswered.
+            // What is likely to stay unanswered is lost for good where it can't be sent again.
             let silent = ((tgt.unanswered(inv.op, self.now) - usually) / (1.0 - usually)).max(0.0);
-            if silent > EPS && self.rng.random::<f64>() < silent {
+            let sure = warm * (1.0 - silent);
+            if warm < 1.0 && self.credit(tgt, warm) < 0.0 || sure < 1.0 && self.rng.random::<f64>() >= sure {
                 continue;
             }
             let lat = tgt.lat.mean(usual);
@@ -963,14 +947,14 @@
         if again && self.set.limits.parallel && !self.set.operations[op.0].streamed {
             self.due.insert((self.now + Duration::from_secs_f64(COPY_BY * left), Due::Copy(id)));
         }
-        let no = self.invs[&id].deliveries.len() - 1;
-        self.due.insert((self.now + self.set.operations[op.0].latency_objective, Due::Overdue(id, no)));
+        let (objective, no) = (self.set.operations[op.0].latency_objective, inv.deliveries.len() - 1);
+        self.due.insert((self.now + objective, Due::Overdue(id, no)));
         self.out.push(Action::Deliver { inv: id, tgt, timeout });
     }
 
     fn ended(&mut self, id: InvId, no: DeliveryNo, tgt: TgtId, outcome: Outcome, latency: Duration) {
         let Some(inv) = self.invs.get_mut(&id) else { return };
-        self.stay += (latency.as_secs_f64() - self.stay) / STAY_OVER;
+        self.stay += (latency.as_secs_f64() - self.stay) / USUAL_OVER;
         let (op, units, plan) = (inv.op.0, inv.units, inv.plan);
         let Some(d) = inv.deliveries.get_mut(no.0 as usize).filter(|d| d.out) else { return };
         (d.out, d.idle) = (false, outcome.never_ran());
