--- a/src/rules.rs
+++ b/src/rules.rs
@@ -284,7 +284,7 @@
     units: f64,
     /// Seconds that a delivery stays out, of late.
     stay: f64,
-    /// By plan, and by whether a client's repeat asked: part of the quota seen in use, and slots it was seen in.
+    /// By plan and whether a client's repeat asked: part of the quota seen in use, slots it was seen in.
     usual: Vec<[(f64, f64); 2]>,
     copies: f64,
     flow: (Duration, f64, f64),
@@ -535,8 +535,9 @@
         let inv = &self.invs[&id];
         let (p, len) = (&self.set.plans[inv.plan.0], self.customers[&inv.customer].len);
         let run = (self.now.as_secs_f64() / len - inv.slot as f64).min(1.0);
-        let (whole, run) = if self.open(inv.plan) { (p.max_out, 1.0) } else { (p.rate * len, run) };
-        let used = ((total - inv.draws) / whole).clamp(0.0, PACE_MOST * run);
+        let used = ((total - inv.draws) / (p.rate * len)).clamp(0.0, PACE_MOST * run);
+        let over = (f64::from(total > self.burst(inv.plan)), 1.0);
+        let (used, run) = if self.open(inv.plan) { over } else { (used, run) };
         let u = &mut self.usual[inv.plan.0][usize::from(inv.repeat)];
         *u = (u.0 - u.0 / USUAL_OVER + used, u.1 - u.1 / USUAL_OVER + run);
     }
@@ -547,15 +548,15 @@
         let (burst, rate) = (p.burst, p.rate * c.len);
         let usual = (seen / span).clamp(0.01, PACE_MOST);
         if self.open(c.plan) {
-            return usual * p.max_out;
+            // Few are out or many: the mean is neither. It is full where sending on would lose by it.
+            return (self.burst(c.plan) - 1.0) * usual * (1.0 + p.over_cost - p.over_value);
         }
-        let usual = usual * rate;
         let weight = USUAL_UNITS * self.units;
         let (at, none) = (self.now.as_secs_f64() / c.len, Slot::default());
         let s = c.slots.get(&(at as u64)).unwrap_or(&none);
         let told = s.part(at as u64, c.len, at.fract());
         let units = weight + c.units + s.own.max(s.came) + s.others;
-        let slots = weight / usual + c.span + told + c.share(burst) * (at.fract() - told);
+        let slots = weight / (usual * rate) + c.span + told + c.share(burst) * (at.fract() - told);
         (units / slots).min(PACE_MOST * rate)
     }
 
@@ -723,8 +724,7 @@
             self.tgts.get_mut(&d.tgt).into_iter().for_each(|t| t.out -= 1);
         }
         if let Some(c) = self.customers.get_mut(&inv.customer) {
-            c.held -= 1;
-            c.used_at = self.now;
+            (c.held, c.used_at) = (c.held - 1, self.now);
             c.out -= inv.deliveries.iter().filter(|d| d.out).count() as u32;
         }
     }
--- a/tests/rules/decisions.rs
+++ b/tests/rules/decisions.rs
@@ -230,7 +230,7 @@
     assert!(total(0, 40) >= 1, "it gets some work to warm by");
 }
 
-/// A backend that turns away one plan's work stays open to the others' (tiles-freising-later big-2).
+/// A backend that turns away one plan's work stays open to the others' (incident ia0f897).
 #[test]
 fn a_plan_turned_away_does_not_shut_the_backend_to_others() {
     let mut set = settings(Repeat::Idempotent);
