--- a/tests/rules/decisions.rs
+++ b/tests/rules/decisions.rs
@@ -465,3 +465,47 @@
     let after = rules.on(at, Event::Timer { token: "due".into() });
     assert!(!after.iter().any(|a| matches!(a, Action::Timer { .. })), "{after:?}");
 }
+
+/// A call's worth spans 27-fold (morandotti-ordini): a crowded counter is asked for the dearest.
+#[test]
+fn a_crowded_counter_is_asked_for_what_is_worth_most() {
+    let mut set = settings(Repeat::Idempotent);
+    set.operations.push(Operation { billed_value: 10.0, ..set.operations[0].clone() });
+    let mut rules = ready(set, 4);
+    let mut asked = [0, 0];
+    for n in 0..400u64 {
+        let now = ms(1000 + 40 * n);
+        let op = OpId((n % 2) as usize);
+        let Event::Invocation(new) = arrival(n, now, &format!("c{n}"), 1.0) else { unreachable!() };
+        for (name, _) in counts(&rules.on(now, Event::Invocation(Invocation { op, ..new }))) {
+            asked[op.0] += 1;
+            let fails = if n % 8 < 2 { Outcome::TimedOut } else { Outcome::Ok };
+            rules.on(now + ms(25), Event::Total { name, outcome: fails, total: 1.0, latency: ms(25) });
+        }
+    }
+    assert!(asked[1] > 2 * asked[0], "{asked:?}");
+}
+
+/// One in line behind one that is out is no line where places are free (kigali-main big-1: 1,525 tries refused).
+#[test]
+fn a_line_is_judged_by_the_places_and_not_by_what_is_out() {
+    let mut set = settings(Repeat::Idempotent);
+    (set.counter, set.gateways) = (None, 1);
+    set.plans[0] =
+        Plan { rate: 50.0, burst: 50.0, max_out: 1.0, price: 1.0, over_cost: 1.0, ..Plan::default() };
+    let mut rules = ready(set, 4);
+    let Event::Outcome { inv, no, outcome, report, .. } = outcome(1, 0, TgtId(0), Outcome::Ok, true) else {
+        unreachable!()
+    };
+    let tgt = delivered(&rules.on(ms(1000), arrival(1, ms(1000), "a", 1.0)))[0];
+    let (latency, used, true_units) = (ms(300), None, None);
+    let slow = Event::Outcome { inv, no, tgt, outcome, latency, closed: true, used, true_units, report };
+    rules.on(ms(1300), slow);
+    for n in 2..4 {
+        assert!(
+            !throttled(&rules.on(ms(1300), arrival(n, ms(1300), "a", 1.0))),
+            "one out, one waits for its cap"
+        );
+    }
+    assert!(!throttled(&rules.on(ms(1300), arrival(9, ms(1300), "b", 1.0))), "others find free places");
+}
