--- a/crates/migrate/tests/command.rs
+++ b/crates/cli/tests/migrate.rs
@@ -35,8 +35,8 @@
         Folder(at)
     }
     fn run(&self, more: &[&str]) -> Output {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_damsonbeam-migrate"));
-        command.current_dir(&self.0).args(["old", "--shape", "shape", "--out", "new"]).args(more);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_damsonbeam"));
+        command.current_dir(&self.0).args(["migrate", "old", "--shape", "shape", "--out", "new"]).args(more);
         command.output().unwrap()
     }
     fn new_text(&self) -> Option<String> {
@@ -96,6 +96,6 @@
         assert_eq!((out.status.code(), said.lines().count()), (Some(1), 1), "{said}");
         assert!(said.contains(says) && folder.new_text().is_none(), "{says} in {said}");
     }
-    let none = Command::new(env!("CARGO_BIN_EXE_damsonbeam-migrate")).output().unwrap();
+    let none = Command::new(env!("CARGO_BIN_EXE_damsonbeam")).arg("migrate").output().unwrap();
     assert_eq!(none.status.code(), Some(2));
 }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -45,6 +45,8 @@
     pub bodies: usize,
     /// What the settings rely on and no page of the socket protocol brings, a line each.
     pub notes: Vec<String>,
+    /// The gateway's own keys that nothing reads; `config check` refuses them, `serve` logs them.
+    pub unknown: Vec<String>,
 }
 
 #[derive(Deserialize)]
@@ -80,6 +82,7 @@
     }
 
     pub fn parse(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let source = text;
         let mut text = serde_json::Deserializer::from_str(text);
         let raw: Raw = named(&mut text).map_err(|e| format!("NODE_CONFIG: {e}"))?;
         let addr = |key: &str, value: &str| {
@@ -126,6 +129,7 @@
             backends,
             bodies: quarter,
             notes,
+            unknown: unknown_keys(source).0,
         })
     }
 }
@@ -209,3 +213,35 @@
     ];
     absent.iter().filter(|(is, _)| *is).map(|(_, what)| format!("settings.{what}")).collect()
 }
+
+/// Keys of a configuration that nothing reads, with their paths: the gateway's own refused by `config check`,
+/// those of `settings` (which the platform may widen) noted.
+pub fn unknown_keys(text: &str) -> (Vec<String>, Vec<String>) {
+    let (mut own, mut settings) = (Vec::new(), Vec::new());
+    let mut text = serde_json::Deserializer::from_str(text);
+    let raw: Result<Raw, _> = serde_ignored::deserialize(&mut text, |path| own.push(path.to_string()));
+    if let Ok(raw) = raw {
+        let facts: Result<Facts, _> =
+            serde_ignored::deserialize(raw.settings, |path| settings.push(format!("settings.{path}")));
+        facts.ok();
+    }
+    (own, settings)
+}
+
+/// `damsonbeam config check`: what `serve` would refuse, and keys that nothing reads; else the notes.
+pub fn check_file(path: &std::path::Path) -> Result<Vec<String>, Vec<String>> {
+    let text = std::fs::read_to_string(path).map_err(|e| vec![e.to_string()])?;
+    let (own, settings) = unknown_keys(&text);
+    let mut problems: Vec<String> = own.iter().map(|k| format!("{k}: unknown key, not read")).collect();
+    match Config::parse(&text, |key| std::env::var(key).ok()) {
+        Ok(config) if problems.is_empty() => {
+            let unread = settings.iter().map(|k| format!("{k}: not read by the gateway"));
+            Ok(config.notes.into_iter().chain(unread).collect())
+        }
+        Ok(_) => Err(problems),
+        Err(why) => {
+            problems.insert(0, why.trim_start_matches("NODE_CONFIG: ").to_string());
+            Err(problems)
+        }
+    }
+}
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -96,6 +96,7 @@
     pub async fn run(self: Rc<Self>, config: Config) -> Result<(), String> {
         let name = config.name.clone();
         config.notes.iter().for_each(|note| log!("not-on-sockets", "{note}"));
+        config.unknown.iter().for_each(|key| log!("key-unknown", "{key}: not read"));
         let mut running = self.start(config).await?;
         loop {
             self.enter(Stage::Serving, &name);
--- a/crates/migrate/src/main.rs
+++ b/crates/migrate/src/command.rs
@@ -1,30 +1,28 @@
-//! `damsonbeam-migrate OLD --shape SHAPE --out NEW [--dry-run] [--force]`
+//! `damsonbeam migrate OLD --shape SHAPE --out NEW [--dry-run] [--force]`: the file side of [`migrate`].
 
 use std::io::Write;
 use std::path::{Path, PathBuf};
-use std::process::ExitCode;
 
-use clap::Parser;
-use damsonbeam_migrate::migrate;
+use crate::migrate;
 
 /// Writes a gateway's configuration anew for a deployment of another shape, and lists what it could not
 /// carry over. Exit 0: done; 1: the input is faulty; 2: usage.
-#[derive(Parser)]
-struct Args {
+#[derive(clap::Args, Debug)]
+pub struct Args {
     /// The gateway's present file
-    old: PathBuf,
+    pub old: PathBuf,
     /// A file of the same form with the new site's settings
     #[arg(long)]
-    shape: PathBuf,
+    pub shape: PathBuf,
     /// Where the new file goes
     #[arg(long)]
-    out: PathBuf,
+    pub out: PathBuf,
     /// Say the same and change nothing
     #[arg(long)]
-    dry_run: bool,
+    pub dry_run: bool,
     /// Write over a file that is there
     #[arg(long)]
-    force: bool,
+    pub force: bool,
 }
 
 /// Whole or not at all.
@@ -41,7 +39,8 @@
     Ok(())
 }
 
-fn run(args: &Args) -> Result<(), String> {
+/// Carries the command out; what goes wrong comes back as one line that names the file.
+pub fn run(args: &Args) -> Result<(), String> {
     let read = |path: &Path| std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()));
     let (old, shape) = (read(&args.old)?, read(&args.shape)?);
     let named = |e: String| match e.split_once(": ") {
@@ -61,13 +60,3 @@
     println!("{}: {}", args.out.display(), if args.dry_run { "not written, dry run" } else { "written" });
     Ok(())
 }
-
-fn main() -> ExitCode {
-    match run(&Args::parse()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(what) => {
-            eprintln!("damsonbeam-migrate: {}", what.replace('\n', " "));
-            ExitCode::FAILURE
-        }
-    }
-}
--- a/crates/migrate/src/lib.rs
+++ b/crates/migrate/src/lib.rs
@@ -1,5 +1,7 @@
 //! A gateway's configuration, carried over to a deployment of another shape. No I/O.
 
+pub mod command;
+
 use damsonbeam_gateway::config::Config;
 use serde_json::{Map, Value};
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! order of arrival; what comes back is the list of [`interface::Action`]s to carry out at once.
 //! The library does no I/O, reads no clock and keeps no global state.
 
+mod hist;
 pub mod interface;
 pub mod rules;
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,12 +1,9 @@
 //! Every decision of a gateway, in one place.
 //!
-//! A front end makes one [`Rules`] for each gateway life and calls [`Rules::on`] with each event in
-//! order; the actions it returns are to be carried out at once, in order. The types of both stand in
-//! `interface.rs`. Time is the events' clock, chance comes from the seed: same events, same actions.
-//!
-//! The design (docs/design.md): an invocation adds its units to its customer's count of the running
-//! slot on the counter, the slots inside the sliding window are summed, and it is throttled if the sum
-//! passes the burst, its add then undone. Beside the design stand six mechanisms:
+//! [`Rules::on`] takes events in order and returns actions to carry out at once (types in `interface.rs`).
+//! Time is the events' clock, chance comes from the seed: same events, same actions. The design (design.md):
+//! an invocation adds its units to its customer's count of the running slot on the counter, the slots inside
+//! the window are summed, and it is throttled if the sum passes the burst, its add then undone. Beside it:
 //!  1. doubt: the counter is asked as it answers, near quotas and dear ones first; else the pace is a guess
 //!  2. repair: own admitted units are a lower bound; what the counter lacks goes in with the next add
 //!  3. places: work waits in line here; the fleet's places, each gateway's part of them, follow its answers
@@ -15,11 +12,14 @@
 //!  6. warm-up: a fresh backend is passed over by chance and holds to this gateway's part of a budget
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::Hasher;
 use std::time::Duration;
 
+use fnv::FnvHasher;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::hist::Hist;
 use crate::interface::*;
 
 /// Gateways of a customer up to which its window is two slots, else one: reads would outnumber adds.
@@ -98,9 +98,6 @@
 /// Samples at which a histogram is halved: a backend's follows its last dozen answers, the fleet's hundreds.
 const TGT_SAMPLES: f64 = 16.0;
 const FLEET_SAMPLES: f64 = 400.0;
-/// Lowest bin of a histogram in seconds; each next bin is half an octave up, the last takes the rest.
-const BIN_FIRST: f64 = 0.004;
-const BINS: usize = 24;
 /// An overdue delivery moves its operation's part unanswered this far to all; it halves in this, for nothing
 /// else tells of a backend that is passed over.
 const SILENT_STEP: f64 = 0.5;
@@ -110,36 +107,6 @@
 /// Sums of fractions are equal within this many units.
 const EPS: f64 = 1e-3;
 
-#[derive(Default)]
-struct Hist([f64; BINS]);
-
-impl Hist {
-    fn note(&mut self, t: Duration, most: f64) {
-        let bin = (2.0 * (t.as_secs_f64() / BIN_FIRST).max(1.0).log2()) as usize;
-        self.0[bin.min(BINS - 1)] += 1.0;
-        if self.0.iter().sum::<f64>() > most {
-            self.0.iter_mut().for_each(|b| *b /= 2.0);
-        }
-    }
-    fn middle(bin: usize) -> f64 {
-        BIN_FIRST * 2f64.powf((bin as f64 + 0.5) / 2.0)
-    }
-    fn quantile(&self, q: f64) -> Option<f64> {
-        let mut left = q * self.0.iter().sum::<f64>();
-        let found = self.0.iter().position(|b| {
-            left -= b;
-            left < 0.0
-        })?;
-        Some(Self::middle(found))
-    }
-    /// The mean, drawn towards `usual`: one answer tells little of who gave it.
-    fn mean(&self, usual: f64) -> f64 {
-        let n: f64 = self.0.iter().sum();
-        let sum: f64 = self.0.iter().enumerate().map(|(i, b)| b * Self::middle(i)).sum();
-        (sum + usual * USUAL_WEIGHT) / (n + USUAL_WEIGHT)
-    }
-}
-
 /// One slot of a customer's window, as far as known here.
 #[derive(Default)]
 struct Slot {
@@ -475,8 +442,9 @@
         let upto = s.put;
         let mut text = customer.0.to_string();
         if text.len() > 40 {
-            let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3); // FNV-1a
-            text = format!("{:x}", text.bytes().fold(0xcbf2_9ce4_8422_2325, step));
+            let mut hash = FnvHasher::default();
+            hash.write(text.as_bytes());
+            text = format!("{:x}", hash.finish());
         }
         let name = format!("{slot}/{text}");
         let call = Call { customer, slot, add, upto, asks, read, at: self.now };
@@ -789,7 +757,7 @@
     }
 
     fn mean(&self, op: OpId) -> f64 {
-        self.lat[op.0].mean(self.expect(0.5, op))
+        self.lat[op.0].mean(self.expect(0.5, op), USUAL_WEIGHT)
     }
 
     fn objective(&self, inv: &Inv) -> Duration {
@@ -866,7 +834,7 @@
             if warm < 1.0 && self.credit(tgt, warm) < 0.0 || sure < 1.0 && self.rng.random::<f64>() >= sure {
                 continue;
             }
-            let lat = tgt.lat.mean(usual);
+            let lat = tgt.lat.mean(usual, USUAL_WEIGHT);
             let tried = inv.deliveries.iter().any(|d| d.tgt == t);
             let taken = (1.0 - tgt.full.get(&inv.plan).copied().unwrap_or(0.0)) * (1.0 - silent);
             // The less of a backend is this gateway's, the more it is by lot: hundreds that know as little.
