--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -350,7 +350,7 @@
     let mut conn = match conn {
         Ok(conn) => conn,
         Err(why) => {
-            log!("backend-unreachable", "{at}: {why}");
+            log!(warn, "backend-unreachable", "{at}: {why}");
             tell(Outcome::ConnectFailed, None, vec![]).await;
             return None;
         }
@@ -388,7 +388,7 @@
             // Unless the last byte was written it never ran; in doubt it may have.
             let outcome = if conn.meter.whole() { Outcome::Reset } else { Outcome::ConnectFailed };
             if !job.line.over.get() {
-                log!("delivery-broken", "{at}: {why}");
+                log!(warn, "delivery-broken", "{at}: {why}");
             }
             // What still comes belongs to nothing any more.
             job.line.give_up();
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -230,14 +230,14 @@
             }
             while self.open() >= self.most + BEYOND {
                 // Those that wait are taken already: closing one would lose what it has sent.
-                log!("clients-full", "{} connections, all with invocations", self.open());
+                log!(warn, "clients-full", "{} connections, all with invocations", self.open());
                 self.gone.notified().await;
             }
             match listener.accept().await {
                 Ok((socket, _)) => self.clone().take(socket),
                 Err(e) => {
                     // Out of descriptors: asking again at once would spin, leaving would end the gateway.
-                    log!("accept-failed", "{e}");
+                    log!(warn, "accept-failed", "{e}");
                     self.evict();
                     tokio::time::sleep(PAUSE).await;
                 }
@@ -303,7 +303,7 @@
         if let Err(e) = done.await
             && e.is_parse()
         {
-            log!("client-malformed", "{e}");
+            log!(warn, "client-malformed", "{e}");
         }
     }
 
@@ -467,13 +467,13 @@
     async fn invoke(&self, conn: &Conn, request: Request<Incoming>) -> Result<Reply200, StatusCode> {
         let (head, body) = request.into_parts();
         let Some((told, name)) = self.decode(&head.method, &head.uri, &head.headers) else {
-            log!("invocation-malformed", "{} {}", head.method, head.uri);
+            log!(warn, "invocation-malformed", "{} {}", head.method, head.uri);
             return Err(StatusCode::BAD_REQUEST);
         };
         let body = self.body(&head.method, body, told.deadline).await?;
         // Two of a name would share one effect, and each would get the other's answer.
         if !self.open.borrow_mut().insert(name.clone()) {
-            log!("invocation-twice", "{name}");
+            log!(warn, "invocation-twice", "{name}");
             return Err(StatusCode::CONFLICT);
         }
         let mut held = Held { inv: told.inv, name, clients: self, answered: false };
@@ -505,7 +505,7 @@
             return Err(StatusCode::PAYLOAD_TOO_LARGE);
         }
         let Some(room) = self.bodies.take(bytes as usize) else {
-            log!("bodies-full", "no room for a body of {bytes} bytes");
+            log!(warn, "bodies-full", "no room for a body of {bytes} bytes");
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         };
         let whole = tokio::select! {
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -154,13 +154,13 @@
                     let mute = stream.heard == began;
                     patience = if mute { (patience * 2).min(SILENT.max(self.timeout)) } else { self.timeout };
                     match why {
-                        Some(Left::Broken(e)) => log!("counter-lost", "{}: {e}", self.at),
+                        Some(Left::Broken(e)) => log!(warn, "counter-lost", "{}: {e}", self.at),
                         Some(Left::Moved) => {}
                         None => return,
                     }
                 }
                 Some(Err(Left::Broken(e))) => {
-                    log!("counter-unreachable", "{}: {e}", self.at);
+                    log!(warn, "counter-unreachable", "{}: {e}", self.at);
                     for call in waiting.drain(..) {
                         self.tell(Some(call), Outcome::ConnectFailed, 0.0).await;
                     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,10 +28,11 @@
 
 /// From start to exit.
 pub fn run() -> ExitCode {
+    log::init();
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
-            log::log!("damsonbeam", "{}", what.replace('\n', " "));
+            log::log!(error, "damsonbeam", "{}", what.replace('\n', " "));
             ExitCode::FAILURE
         }
     }
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -89,14 +89,14 @@
 
     fn enter(&self, stage: Stage, name: &str) {
         self.stage.set(stage);
-        log!("stage", "{name}: {stage:?}");
+        log!(info, "stage", "{name}: {stage:?}");
     }
 
     /// From start to exit.
     pub async fn run(self: Rc<Self>, config: Config) -> Result<(), String> {
         let name = config.name.clone();
-        config.notes.iter().for_each(|note| log!("not-on-sockets", "{note}"));
-        config.unknown.iter().for_each(|key| log!("key-unknown", "{key}: not read"));
+        config.notes.iter().for_each(|note| log!(info, "not-on-sockets", "{note}"));
+        config.unknown.iter().for_each(|key| log!(warn, "key-unknown", "{key}: not read"));
         let mut running = self.start(config).await?;
         loop {
             self.enter(Stage::Serving, &name);
@@ -105,7 +105,7 @@
                 _ = running.reload.recv() => {
                     self.enter(Stage::Reloading, &name);
                     if let Err(why) = running.move_to(Config::read()).await {
-                        log!("reload-refused", "{why}; the old configuration stays");
+                        log!(warn, "reload-refused", "{why}; the old configuration stays");
                     }
                 }
                 ended = running.actors.next() => return Err(format!("an actor ended: {ended:?}")),
@@ -197,7 +197,7 @@
         tokio::select! {
             _ = listed => {}
             _ = terminate.recv() => return Err("SIGTERM before there was a list of backends".into()),
-            () = sleep(LIST), if some => log!("list-late", "serving with the list as last known"),
+            () = sleep(LIST), if some => log!(warn, "list-late", "serving with the list as last known"),
         }
         let list = to_list;
         Ok(Running { clients, accepting, actors, grace, terminate, reload, places, list, counter })
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -215,7 +215,7 @@
                 None => watching = false,
                 Some(failed) => {
                     let why = failed.map_or("no answer".to_owned(), |r| r.err().unwrap_or_default());
-                    log!("list-unavailable", "{}: {why}; the last list stays", self.at);
+                    log!(warn, "list-unavailable", "{}: {why}; the last list stays", self.at);
                     if self.mode == Discovery::Subscribed {
                         watching = false;
                         let none = Listed { form: ListForm::Unavailable, entries: [].into(), addrs: vec![] };
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -1,4 +1,9 @@
-//! Log lines: one macro over `eprintln`, a few lines a second from each place that logs.
+//! Log lines: structured events on `tracing`, a few a second from each place that logs.
+//!
+//! Each line is one JSON object on standard error (`tracing-subscriber`'s JSON format) with the fields
+//! `code` (what staff look up in docs/on-call.md), `message` and, where lines were held back, `left_out`.
+//! The level comes from `DAMSONBEAM_LOG` (`error`, `warn`, `info`, `debug`, or a filter of tracing's
+//! directives); `info` where it is not set.
 
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -31,13 +36,27 @@
     }
 }
 
-/// `log!("code", "text {}", value)`: the code is what staff look up in docs/on-call.md.
+/// Sets up JSON lines on standard error at the level that `DAMSONBEAM_LOG` names; once, at the start.
+pub fn init() {
+    let filter = tracing_subscriber::EnvFilter::try_from_env("DAMSONBEAM_LOG")
+        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
+    let subscriber = tracing_subscriber::fmt()
+        .json()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .with_target(false)
+        .with_current_span(false)
+        .finish();
+    tracing::subscriber::set_global_default(subscriber).ok();
+}
+
+/// `log!(warn, "code", "text {}", value)`: one event at that level with the code as a field.
 macro_rules! log {
-    ($code:literal, $($text:tt)*) => {{
+    ($level:ident, $code:literal, $($text:tt)*) => {{
         static SITE: $crate::log::Site = $crate::log::Site::new();
         match SITE.pass(std::time::Instant::now()) {
-            Some(0) => eprintln!("{}: {}", $code, format_args!($($text)*)),
-            Some(n) => eprintln!("{}: {} ({n} more left out)", $code, format_args!($($text)*)),
+            Some(0) => tracing::$level!(code = $code, "{}", format_args!($($text)*)),
+            Some(n) => tracing::$level!(code = $code, left_out = n, "{}", format_args!($($text)*)),
             None => {}
         }
     }};
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -265,7 +265,7 @@
                     None => Some(counter::Mail::Call(call)),
                 };
                 if let Some(counter::Mail::Call(Call { name, .. })) = left {
-                    log!("counter-crowded", "a call not sent");
+                    log!(warn, "counter-crowded", "a call not sent");
                     let (outcome, latency) = (Outcome::Full, Duration::ZERO);
                     self.state.next.push_back(Event::Total { name, outcome, total: 0.0, latency });
                 }
@@ -291,7 +291,7 @@
             Action::Fetch => {
                 self.list.try_send(list::Mail::Fetch).ok();
             }
-            Action::Log { text } => log!("module", "{text}"),
+            Action::Log { text } => log!(warn, "module", "{text}"),
         }
     }
 
@@ -314,7 +314,7 @@
             self.state.due.insert((now + wait, Due::Delivery(inv, no)));
         } else {
             held.deliveries.push(None);
-            log!("backend-crowded", "a delivery not sent");
+            log!(warn, "backend-crowded", "a delivery not sent");
             self.tell_next(inv, no, &out, Outcome::ConnectFailed);
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -37,7 +37,7 @@
                         None => self.all,
                     };
                     if bytes.len() > MOST {
-                        log!("peer-message-too-long", "{} bytes, not sent", bytes.len());
+                        log!(warn, "peer-message-too-long", "{} bytes, not sent", bytes.len());
                     } else if let Some(at) = at {
                         self.socket.send_to(&bytes, at).await.ok();
                     }
