crates/load: seeded open-loop load, hdrhistogram, CSV and SVG; damsonbeam lab and load

Change: - profile: plans, firms (id, plan, rate, units, operation), surges by plan, client patience 7.5 s by default; a negative rate, an unknown plan or key, a time without its unit or a surge past the end is refused FILE:LINE: reason. - run: each firm's arrivals by a Poisson process from its own ChaCha8 seed, open loop; the firm's set is all gateways, the gateway drawn at random; one record per invocation: succeeded, throttled, errored, none within patience, or not taken. - report: table.csv by second and firm, chart.svg (plotters), summary.md with p50/p99/p99.9 from hdrhistogram and each firm's worst minute over quota. - experiment: one TOML naming gateways, backends, counter stores, the profile and the fault script; plans of the settings come from the profile. - damsonbeam lab run/check, damsonbeam load run/check. - lab/counter: the first experiments (a calm run, the counter killed mid-surge).

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -28,6 +28,95 @@
     Config(ConfigCommand),
     /// Writes a gateway's configuration anew for a deployment of another shape
     Migrate(damsonbeam_migrate::command::Args),
+    /// The laboratory: experiments with stand-ins, gateways, load and faults on loopback
+    #[command(subcommand)]
+    Lab(LabCommand),
+    /// The load tool: profiles of open-loop load, run against gateways that are up
+    #[command(subcommand)]
+    Load(LoadCommand),
+}
+
+#[derive(Subcommand)]
+enum LabCommand {
+    /// Runs an experiment: stand-ins, gateways of PROGRAM, the load and the faults it names
+    Run {
+        /// The experiment's file (TOML)
+        experiment: PathBuf,
+        /// Where the table, chart and summary go
+        #[arg(long)]
+        out: PathBuf,
+        /// The gateway's program; this one where not given
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
+    /// Checks an experiment and the profile and fault script it names, and says what is wrong
+    Check { experiment: PathBuf },
+}
+
+#[derive(Subcommand)]
+enum LoadCommand {
+    /// Runs a profile against gateways that are up; every invocation's answer is recorded
+    Run {
+        /// The load profile (TOML)
+        profile: PathBuf,
+        /// A gateway's address; as many as the firms' sets span
+        #[arg(long = "gateway", required = true)]
+        gateways: Vec<std::net::SocketAddr>,
+        /// Where the table, chart and summary go
+        #[arg(long)]
+        out: PathBuf,
+    },
+    /// Checks a profile and says what is wrong, with file and line
+    Check { profile: PathBuf },
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime, String> {
+    tokio::runtime::Builder::new_multi_thread().enable_all().build().map_err(|e| format!("runtime: {e}"))
+}
+
+fn lab(command: LabCommand) -> Result<(), String> {
+    match command {
+        LabCommand::Check { experiment } => {
+            let (e, profile, steps, _) = damsonbeam_load::experiment::load(&experiment)?;
+            println!(
+                "{}: good: {} gateways, {} firms, {} steps of faults",
+                experiment.display(),
+                e.gateways,
+                profile.firms.len(),
+                steps.len()
+            );
+            Ok(())
+        }
+        LabCommand::Run { experiment, out, program } => {
+            let program = match program {
+                Some(p) => p,
+                None => std::env::current_exe().map_err(|e| format!("this program: {e}"))?,
+            };
+            let found = runtime()?.block_on(damsonbeam_load::experiment::run(&experiment, &program, &out))?;
+            print!("{}", found.summary);
+            Ok(())
+        }
+    }
+}
+
+fn load(command: LoadCommand) -> Result<(), String> {
+    let read = |p: &PathBuf| {
+        let text = std::fs::read_to_string(p).map_err(|e| format!("{}: {e}", p.display()))?;
+        damsonbeam_load::profile::parse(&p.display().to_string(), &text)
+    };
+    match command {
+        LoadCommand::Check { profile } => {
+            let p = read(&profile)?;
+            println!("{}: good: {} firms over {}", profile.display(), p.firms.len(), p.lasting.as_secs_f64());
+            Ok(())
+        }
+        LoadCommand::Run { profile, gateways, out } => {
+            let p = read(&profile)?;
+            let records = runtime()?.block_on(damsonbeam_load::run::run(&p, &gateways));
+            print!("{}", damsonbeam_load::report::write(&out, &profile.display().to_string(), &p, &records)?);
+            Ok(())
+        }
+    }
 }
 
 #[derive(Subcommand)]
@@ -59,6 +148,14 @@
                 ExitCode::FAILURE
             }
         },
+        Command::Lab(command) => match lab(command) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(what) => failed(&what),
+        },
+        Command::Load(command) => match load(command) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(what) => failed(&what),
+        },
         Command::Migrate(args) => match damsonbeam_migrate::command::run(&args) {
             Ok(()) => ExitCode::SUCCESS,
             Err(what) => failed(&what),
--- /dev/null
+++ b/crates/load/src/experiment.rs
@@ -0,0 +1,144 @@
+//! Experiments: the lab's stand-ins, gateways of the built program, a load profile and a fault script,
+//! run together; the report is written with what the backends and the counter saw.
+//!
+//! ```toml
+//! title = "The counter killed mid-surge"
+//! gateways = 3
+//! backends = 6
+//! stores = 2            # counters that a split can lead to
+//! load = "load.toml"    # beside this file
+//! faults = "faults.toml"
+//! ```
+
+use std::path::{Path, PathBuf};
+
+use damsonbeam_lab::{Behaviour, Lab, gateways};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::profile::{self, Profile};
+use crate::report;
+use crate::run::{self, Answer};
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Experiment {
+    pub title: String,
+    pub gateways: usize,
+    pub backends: usize,
+    #[serde(default = "one")]
+    pub stores: usize,
+    pub load: PathBuf,
+    pub faults: Option<PathBuf>,
+    /// A settings object to start from, as JSON; plans come from the load profile.
+    pub settings: Option<PathBuf>,
+}
+
+fn one() -> usize {
+    1
+}
+
+/// The settings that a lab's gateways get where the experiment names none: one idempotent operation with
+/// a latency objective of 1 s and an integration timeout of 7 s, a counter with a time-out of 50 ms.
+pub fn base_settings() -> Value {
+    json!({
+        "ceilings": {"cancel": true, "conn-idle-ns": 30_000_000_000u64, "connect-timeout-ns": 250_000_000,
+            "max-retry-after-ns": 1_000_000_000, "retry-after": true, "try-limit": 3},
+        "dcs": ["a"], "kinds": ["m"], "discovery": "automatic", "tick-ns": 4_000_000,
+        "domain": {"has-counter": true, "counter-timeout-ns": 50_000_000, "most-units": 8},
+        "request-classes": [{"name": "tile", "idempotency": "retryable", "deadline-ns": 7_000_000_000u64,
+            "slo-ns": 1_000_000_000u64, "importance": 1.0, "late-worth": 0.2}],
+        "rules": {"drain-grace-ns": 250_000_000, "overload-factor": 2.0, "tip-after-ns": 3_000_000_000u64,
+            "cold-share": 0.2, "cold-ns": 1_000_000_000},
+    })
+}
+
+/// The settings with the profile's plans.
+pub fn settings(base: Value, profile: &Profile) -> Value {
+    let mut settings = base;
+    let plans: Vec<Value> = profile.plans.iter().map(|p| {
+        json!({"name": p.name, "quota-rate": p.rate, "store-size": p.burst, "value-factor": 1.0, "overrun-cost": 1.0})
+    }).collect();
+    settings["plans"] = plans.into();
+    settings
+}
+
+fn read(path: &Path) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+/// Reads an experiment and what it names, all checked before anything starts.
+pub fn load(path: &Path) -> Result<(Experiment, Profile, Vec<damsonbeam_lab::Step>, Value), String> {
+    let text = read(path)?;
+    let file = path.display().to_string();
+    let e: Experiment = toml::from_str(&text).map_err(|e| {
+        let line = e.span().map_or(1, |s| damsonbeam_lab::script::line_of(&text, s.start));
+        format!("{file}:{line}: {}", e.message())
+    })?;
+    if e.gateways == 0 || e.gateways > 200 || e.backends == 0 {
+        return Err(format!(
+            "{file}: gateways 1 to 200 and backends 1 or more, not {} and {}",
+            e.gateways, e.backends
+        ));
+    }
+    let beside = |p: &Path| path.parent().unwrap_or(Path::new(".")).join(p);
+    let load = beside(&e.load);
+    let profile = profile::parse(&load.display().to_string(), &read(&load)?)?;
+    let steps = match &e.faults {
+        Some(f) => {
+            let f = beside(f);
+            damsonbeam_lab::script::parse(
+                &f.display().to_string(),
+                &read(&f)?,
+                e.gateways,
+                e.stores,
+                e.backends,
+            )?
+        }
+        None => Vec::new(),
+    };
+    let base = match &e.settings {
+        Some(s) => serde_json::from_str(&read(&beside(s))?).map_err(|x| format!("{}: {x}", s.display()))?,
+        None => base_settings(),
+    };
+    let settings = settings(base, &profile);
+    Ok((e, profile, steps, settings))
+}
+
+/// What an experiment found beside the report.
+pub struct Found {
+    pub summary: String,
+    pub records: Vec<run::Record>,
+    pub worst: Vec<f64>,
+    pub unanswered: usize,
+}
+
+/// Runs an experiment with the program at `program`, writing the report into `out`.
+pub async fn run(path: &Path, program: &Path, out: &Path) -> Result<Found, String> {
+    let (e, profile, steps, settings) = load(path)?;
+    let lab = Lab::start(e.gateways, e.stores, e.backends, profile.seed, Behaviour::default())
+        .await
+        .map_err(|x| format!("lab: {x}"))?;
+    let mut started = Vec::new();
+    for n in 0..e.gateways {
+        started.push(
+            gateways::start(program, n, e.gateways, lab.counter.fronts[n], lab.discovery.at, &settings)
+                .await?,
+        );
+    }
+    let addresses: Vec<_> = started.iter().map(|g| g.at).collect();
+    let (records, ()) = tokio::join!(run::run(&profile, &addresses), lab.play(&steps));
+    let received = lab.fleet.received();
+    let calls = lab.counter.calls().len();
+    drop(started);
+    let mut summary = report::write(out, &e.title, &profile, &records)?;
+    let worst: Vec<f64> =
+        (0..profile.firms.len()).map(|f| report::worst_minute(&profile, &records, f)).collect();
+    let unanswered = records.iter().filter(|r| r.answer == Answer::None).count();
+    summary.push_str(&format!(
+        "\nGateways {}, backends {}, counter stores {}; {} requests reached backends, {} calls the counter; {} steps of faults.\n",
+        e.gateways, e.backends, e.stores, received.len(), calls, steps.len()
+    ));
+    std::fs::write(out.join("summary.md"), &summary).map_err(|x| format!("{}: {x}", out.display()))?;
+    Ok(Found { summary, records, worst, unanswered })
+}
--- /dev/null
+++ b/crates/load/src/profile.rs
@@ -0,0 +1,215 @@
+//! Load profiles: firms with their plan, operation and rate; surges by plan; how long and from what seed.
+//!
+//! ```toml
+//! seed = 7
+//! lasting = "60s"
+//! patience = "7.5s"
+//!
+//! [[plan]]
+//! name = "basic"
+//! rate = 10.0     # units a second
+//! burst = 20.0
+//!
+//! [[firm]]
+//! id = 1
+//! plan = "basic"
+//! rate = 8.0      # invocations a second
+//!
+//! [[surge]]
+//! plan = "basic"
+//! at = "20s"
+//! lasting = "15s"
+//! factor = 4.0
+//! ```
+
+use std::time::Duration;
+
+use damsonbeam_lab::script::{duration, line_of};
+use serde::Deserialize;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    pub name: String,
+    pub rate: f64,
+    pub burst: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Firm {
+    /// The customer as the protocol names it: a number below 2^33, sent as 16 hex digits.
+    pub id: u64,
+    pub plan: usize,
+    pub rate: f64,
+    pub units: u32,
+    pub operation: String,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Surge {
+    pub plan: usize,
+    pub at: Duration,
+    pub lasting: Duration,
+    pub factor: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Profile {
+    pub seed: u64,
+    pub lasting: Duration,
+    pub patience: Duration,
+    pub plans: Vec<Plan>,
+    pub firms: Vec<Firm>,
+    pub surges: Vec<Surge>,
+}
+
+impl Profile {
+    /// Invocations a second of a firm at a time from the start.
+    pub fn rate(&self, firm: &Firm, at: Duration) -> f64 {
+        let on = |s: &&Surge| s.plan == firm.plan && at >= s.at && at < s.at + s.lasting;
+        firm.rate * self.surges.iter().filter(on).map(|s| s.factor).product::<f64>()
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Raw {
+    seed: u64,
+    lasting: String,
+    patience: Option<String>,
+    plan: Vec<toml::Spanned<RawPlan>>,
+    firm: Vec<toml::Spanned<RawFirm>>,
+    #[serde(default)]
+    surge: Vec<toml::Spanned<RawSurge>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawPlan {
+    name: String,
+    rate: f64,
+    burst: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawFirm {
+    id: u64,
+    plan: String,
+    rate: f64,
+    units: Option<u32>,
+    operation: Option<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawSurge {
+    plan: String,
+    at: String,
+    lasting: String,
+    factor: f64,
+}
+
+fn positive(key: &str, v: f64) -> Result<f64, String> {
+    if v.is_finite() && v >= 0.0 { Ok(v) } else { Err(format!("{key}: {v} is negative or no number")) }
+}
+
+/// Reads a profile; errors are `FILE:LINE: reason`.
+pub fn parse(file: &str, text: &str) -> Result<Profile, String> {
+    let raw: Raw = toml::from_str(text).map_err(|e| {
+        let line = e.span().map_or(1, |s| line_of(text, s.start));
+        format!("{file}:{line}: {}", e.message())
+    })?;
+    let at = |span: std::ops::Range<usize>| {
+        let line = line_of(text, span.start);
+        move |why: String| format!("{file}:{line}: {why}")
+    };
+    let lasting = duration("lasting", &raw.lasting).map_err(at(0..0))?;
+    let patience = duration("patience", raw.patience.as_deref().unwrap_or("7.5s")).map_err(at(0..0))?;
+    let mut plans: Vec<Plan> = Vec::new();
+    for p in &raw.plan {
+        let (w, r) = (at(p.span()), p.get_ref());
+        if plans.iter().any(|q| q.name == r.name) {
+            return Err(w(format!("name: plan `{}` is named twice", r.name)));
+        }
+        plans.push(Plan {
+            name: r.name.clone(),
+            rate: positive("rate", r.rate).map_err(&w)?,
+            burst: positive("burst", r.burst).map_err(&w)?,
+        });
+    }
+    let plan = |name: &str| {
+        plans
+            .iter()
+            .position(|p| p.name == name)
+            .ok_or_else(|| format!("plan: `{name}` is no plan of this file"))
+    };
+    let mut firms = Vec::new();
+    for f in &raw.firm {
+        let (w, r) = (at(f.span()), f.get_ref());
+        if r.id >= 1 << 33 {
+            return Err(w(format!("id: {} is not below 2^33", r.id)));
+        }
+        let (units, operation) = (r.units.unwrap_or(1), r.operation.clone().unwrap_or_else(|| "tile".into()));
+        firms.push(Firm {
+            id: r.id,
+            plan: plan(&r.plan).map_err(&w)?,
+            rate: positive("rate", r.rate).map_err(&w)?,
+            units,
+            operation,
+        });
+    }
+    let mut surges = Vec::new();
+    for s in &raw.surge {
+        let (w, r) = (at(s.span()), s.get_ref());
+        let (start, lasting) =
+            (duration("at", &r.at).map_err(&w)?, duration("lasting", &r.lasting).map_err(&w)?);
+        if start + lasting > lasting_total(&raw.lasting) {
+            return Err(w(format!("at: the surge ends after the run's {}", raw.lasting)));
+        }
+        surges.push(Surge {
+            plan: plan(&r.plan).map_err(&w)?,
+            at: start,
+            lasting,
+            factor: positive("factor", r.factor).map_err(&w)?,
+        });
+    }
+    Ok(Profile { seed: raw.seed, lasting, patience, plans, firms, surges })
+}
+
+fn lasting_total(text: &str) -> Duration {
+    humantime::parse_duration(text).unwrap_or(Duration::MAX)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = "seed = 7\nlasting = \"60s\"\n[[plan]]\nname = \"basic\"\nrate = 10.0\nburst = 20.0\n\
+        [[firm]]\nid = 1\nplan = \"basic\"\nrate = 8.0\n[[surge]]\nplan = \"basic\"\nat = \"20s\"\nlasting = \"15s\"\nfactor = 4.0\n";
+
+    #[test]
+    fn a_profile_is_read_and_a_surge_multiplies_its_plan() {
+        let p = parse("p.toml", GOOD).unwrap();
+        assert_eq!(p.patience, Duration::from_millis(7500));
+        assert_eq!(p.rate(&p.firms[0], Duration::from_secs(5)), 8.0);
+        assert_eq!(p.rate(&p.firms[0], Duration::from_secs(25)), 32.0);
+    }
+
+    #[test]
+    fn bad_profiles_are_refused_with_file_line_and_reason() {
+        let cases = [
+            (GOOD.replace("rate = 8.0", "rate = -8.0"), "p.toml:7: rate: -8 is negative"),
+            (
+                GOOD.replace("plan = \"basic\"\nrate = 8.0", "plan = \"gold\"\nrate = 8.0"),
+                "p.toml:7: plan: `gold` is no plan",
+            ),
+            (GOOD.replace("at = \"20s\"", "at = \"50s\""), "p.toml:11: at: the surge ends after"),
+            (GOOD.replace("factor = 4.0", "factor = 4.0\nspeed = 1"), "unknown field `speed`"),
+            (GOOD.replace("lasting = \"15s\"", "lasting = \"15\""), "p.toml:11: lasting: `15` is no time"),
+        ];
+        for (text, says) in cases {
+            let said = parse("p.toml", &text).unwrap_err();
+            assert!(said.contains(says), "{says} in {said}");
+        }
+    }
+}
