--- /dev/null
+++ b/crates/cli/tests/counter.rs
@@ -0,0 +1,31 @@
+//! Quotas while the counter fails: three gateways of the built program, the lab's counter killed, cut,
+//! slowed and replaced empty during a surge of one plan (lab/counter/ci.toml).
+
+use std::collections::HashSet;
+use std::path::Path;
+
+use damsonbeam_load::experiment;
+use damsonbeam_load::run::Answer;
+
+#[test]
+fn each_firm_stays_within_five_in_a_hundred_over_its_quota_and_every_invocation_gets_one_answer() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let out = std::env::temp_dir().join(format!("damsonbeam-counter-{}", std::process::id()));
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap();
+    let program = Path::new(env!("CARGO_BIN_EXE_damsonbeam"));
+    let found = runtime.block_on(experiment::run(&root.join("lab/counter/ci.toml"), program, &out)).unwrap();
+    std::fs::remove_dir_all(&out).ok();
+    let ids: HashSet<_> = found.records.iter().map(|r| r.inv.as_str()).collect();
+    assert_eq!(ids.len(), found.records.len(), "an invocation recorded twice");
+    assert!(found.records.len() > 1000, "{}", found.summary);
+    let none = found.records.iter().filter(|r| matches!(r.answer, Answer::None | Answer::NotTaken)).count();
+    assert_eq!(none, 0, "invocations without an answer\n{}", found.summary);
+    for (firm, over) in found.worst.iter().enumerate() {
+        assert!(
+            *over <= 0.05,
+            "firm {firm}: {:.1}% over its quota in its worst minute\n{}",
+            100.0 * over,
+            found.summary
+        );
+    }
+}
