--- a/crates/lab/src/gateways.rs
+++ b/crates/lab/src/gateways.rs
@@ -43,15 +43,15 @@
 }
 
 /// Where gateway `n` of this process listens: an address of its own in 127.0.0.0/8, so that no port is
-/// handed out twice between tests that run side by side.
+/// handed out twice between tests that run side by side; port 9300, which the socket tests do not use.
 pub fn address(n: usize) -> SocketAddr {
     let process = std::process::id() as usize;
-    SocketAddr::from(([127, 100 + (process % 100) as u8, (process / 100 % 250) as u8, 1 + n as u8], 9000))
+    SocketAddr::from(([127, 100 + (process % 100) as u8, (process / 100 % 250) as u8, 1 + n as u8], 9300))
 }
 
 /// Where gateway `n` takes datagrams from its peers (UDP, beside its listener).
 pub fn peer_address(n: usize) -> SocketAddr {
-    SocketAddr::new(address(n).ip(), 9100)
+    SocketAddr::new(address(n).ip(), 9301)
 }
 
 /// Starts gateway `n` of `of`: its own counter front, the lab's discovery, the settings given, the
