The gateway's files by floors: mail, stage and sizes at the ground, life wires the actors

Need: the eight main files imported each other in one circle (every actor took module::Mail, clients took life::Stage, life took clients, config took sizes from backends), and new rooms would have joined it. What the actors say to each other is mail.rs, the stage is stage.rs, shared sizes are sizes.rs; none imports an actor. The module gets a way to hire a backend's actor from life. No behaviour changes: definitions moved, names made plain (ToModule, ToBackend, ...).

--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -3,20 +3,20 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
-use std::net::{Shutdown, SocketAddr};
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
-use damsonbeam::interface::{DeliveryNo, InvId, Outcome, Report};
+use damsonbeam::interface::{Outcome, Report};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Body;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -26,16 +26,14 @@
 
 use crate::config::Config;
 use crate::log::log;
-use crate::module;
+use crate::mail::*;
 use crate::room::Rooms;
+use crate::sizes::{ANSWER, BODY, HEAD};
 
-pub const BODY: usize = 64 << 10;
-/// Bytes of an answer's body at most: the platform promises no more than of a request's, and sends more.
-const ANSWER: usize = 1 << 20;
-/// Bytes of a head at most, a client's or a backend's.
-pub const HEAD: usize = 16 << 10;
 /// Part of the time after which the platform closes an idle connection, by which ours are closed.
 const IDLE_PART: (u32, u32) = (3, 4);
+/// Room in a backend's mailbox: more deliveries than a backend's places at any time.
+const JOBS: usize = 256;
 /// Turns given to a connection that was let go, to close.
 const TURNS: usize = 8;
 pub static ID: HeaderName = HeaderName::from_static("x-correlation-id");
@@ -43,62 +41,6 @@
 static UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 static LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 
-/// What of a client's request goes on to a backend.
-pub struct Ask {
-    pub method: Method,
-    pub uri: Uri,
-    pub headers: HeaderMap,
-    pub body: Bytes,
-}
-
-/// A backend's answer that goes to the client.
-pub struct Reply {
-    pub headers: HeaderMap,
-    pub body: Bytes,
-}
-
-pub enum Mail {
-    Deliver(Job),
-    CloseIdle,
-}
-
-pub struct Job {
-    pub inv: InvId,
-    pub no: DeliveryNo,
-    pub ask: Rc<Ask>,
-    /// How long the gateway will wait.
-    pub wait: Duration,
-    pub line: Rc<Line>,
-}
-
-/// How a delivery ended; the reply with a succeeded one.
-pub struct Done {
-    pub inv: InvId,
-    pub no: DeliveryNo,
-    pub outcome: Outcome,
-    pub reply: Option<Reply>,
-    pub report: Report,
-}
-
-type Socket = RefCell<TcpStream>;
-
-/// A delivery's hold on its connection, by which it is given up.
-#[derive(Default)]
-pub struct Line {
-    over: Cell<bool>,
-    socket: RefCell<Weak<Socket>>,
-}
-
-impl Line {
-    /// Ends the connection at once: whatever is sent after this leaves later.
-    pub fn give_up(&self) {
-        self.over.set(true);
-        if let Some(socket) = self.socket.borrow().upgrade() {
-            SockRef::from(&*socket.borrow()).shutdown(Shutdown::Both).ok();
-        }
-    }
-}
-
 /// How much of a request has been written to its connection.
 #[derive(Default)]
 pub struct Meter {
@@ -212,11 +154,11 @@
     /// The pools of all backends.
     pools: RefCell<Vec<Weak<Pool>>>,
     rooms: Rooms,
-    pub module: mpsc::Sender<module::Mail>,
+    pub module: mpsc::Sender<ToModule>,
 }
 
 impl Fleet {
-    pub fn new(config: &Config, module: mpsc::Sender<module::Mail>) -> Rc<Self> {
+    pub fn new(config: &Config, module: mpsc::Sender<ToModule>) -> Rc<Self> {
         let facts = &config.facts;
         Rc::new(Fleet {
             connect_timeout: config.settings.limits.connect_timeout,
@@ -262,10 +204,19 @@
     pub fleet: Rc<Fleet>,
     /// It drains or is gone: what is not written yet is not written any more.
     pub shut: Rc<Cell<bool>>,
-    pub mailbox: mpsc::Receiver<Mail>,
+    pub mailbox: mpsc::Receiver<ToBackend>,
 }
 
 impl Backend {
+    /// Starts a backend's actor; the module reaches it by what comes back.
+    pub fn hire(fleet: &Rc<Fleet>, at: SocketAddr) -> Peer {
+        let (to, mailbox) = mpsc::channel(JOBS);
+        let shut = Rc::<Cell<bool>>::default();
+        let backend = Backend { at, fleet: fleet.clone(), shut: shut.clone(), mailbox };
+        tokio::task::spawn_local(backend.run());
+        Peer { at, mailbox: to, shut }
+    }
+
     /// Until the mailbox is closed and all deliveries have ended.
     pub async fn run(mut self) {
         let pool = self.fleet.pool();
@@ -286,14 +237,14 @@
                     }
                 }
                 mail = self.mailbox.recv(), if open => match mail {
-                    Some(Mail::Deliver(job)) => {
+                    Some(ToBackend::Deliver(job)) => {
                         let keep = self.fleet.keep;
                         let conn = std::iter::from_fn(|| pool.borrow_mut().pop())
                             .find_map(|(conn, at)| (at.elapsed() < keep && conn.clean()).then_some(conn));
                         let shut = self.shut.clone();
                         running.push(deliver(self.fleet.clone(), self.at, shut, conn, job));
                     }
-                    Some(Mail::CloseIdle) => pool.borrow_mut().clear(),
+                    Some(ToBackend::CloseIdle) => pool.borrow_mut().clear(),
                     None => {
                         open = false;
                         pool.borrow_mut().clear();
@@ -341,7 +292,7 @@
     let tell = |outcome, reply, report| {
         let done = Done { inv: job.inv, no: job.no, outcome, reply, report };
         let module = fleet.module.clone();
-        async move { module.send(module::Mail::Done(done)).await.ok() }
+        async move { module.send(ToModule::Done(done)).await.ok() }
     };
     let conn = match conn {
         Some(conn) => Ok(conn),
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -27,14 +27,15 @@
 use tokio::time::sleep_until;
 use tower::Service;
 
-use crate::backends::{Ask, BODY, HEAD, ID, Reply, TIME_LEFT, end_to_end};
+use crate::backends::{ID, TIME_LEFT, end_to_end};
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::heads::Heads;
-use crate::life::{Life, Stage};
 use crate::log::log;
-use crate::module;
+use crate::mail::*;
 use crate::room::Rooms;
+use crate::sizes::{BODY, HEAD};
+use crate::stage::{Now, Stage};
 
 /// Connections taken beyond the cap, only to be told so.
 const BEYOND: usize = 16;
@@ -54,13 +55,6 @@
 /// Bytes of an invocation's name at most.
 const NAME: usize = 64;
 
-/// The one final answer of an invocation.
-pub enum Answer {
-    Succeeded(Reply),
-    Throttled(Option<Duration>),
-    Errored,
-}
-
 type Reply200 = Response<Full<Bytes>>;
 type Answering = Pin<Box<dyn Future<Output = Result<Reply200, Infallible>>>>;
 
@@ -172,8 +166,8 @@
 
 pub struct Clients {
     clock: Clock,
-    life: Rc<Life>,
-    module: mpsc::Sender<module::Mail>,
+    life: Rc<Now>,
+    module: mpsc::Sender<ToModule>,
     operations: Vec<Operation>,
     plans: Vec<String>,
     most_units: f64,
@@ -194,7 +188,7 @@
 }
 
 impl Clients {
-    pub fn new(config: &Config, clock: Clock, life: Rc<Life>, to: mpsc::Sender<module::Mail>) -> Self {
+    pub fn new(config: &Config, clock: Clock, life: Rc<Now>, to: mpsc::Sender<ToModule>) -> Self {
         let (facts, settings) = (&config.facts, &config.settings);
         let operation = |(c, o): (&Class, &damsonbeam::interface::Operation)| Operation {
             name: c.name.clone(),
@@ -483,7 +477,7 @@
         end_to_end(&mut headers, &held.name);
         let ask = Rc::new(Ask { method: head.method, uri: head.uri, headers, body });
         let (answer, answered) = oneshot::channel();
-        if self.module.send(module::Mail::Invocation { told, ask, answer }).await.is_err() {
+        if self.module.send(ToModule::Invocation { told, ask, answer }).await.is_err() {
             held.answered = true;
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
@@ -534,7 +528,7 @@
         if self.answered {
             return;
         }
-        let left = module::Mail::Left { inv: self.inv };
+        let left = ToModule::Left { inv: self.inv };
         if let Err(mpsc::error::TrySendError::Full(left)) = self.clients.module.try_send(left) {
             let module = self.clients.module.clone();
             tokio::task::spawn_local(async move { module.send(left).await.ok() });
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -7,8 +7,8 @@
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
 
-use crate::backends::{BODY, HEAD};
 use crate::list::Page;
+use crate::sizes::{BODY, CONNECTION};
 
 /// Descriptors kept for all but clients and backends: listener, counter, list, peers, the runtime's own, and
 /// those of connections that were let go and close within a turn.
@@ -17,8 +17,6 @@
 const MEMORY_MB: usize = 192;
 /// Connections of a kind, at least.
 const LEAST: usize = 16;
-/// A client's or a backend's connection with its buffers, at most, besides a body.
-const CONNECTION: usize = HEAD + (12 << 10);
 
 /// What a reload can change: where others are reached.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -14,7 +14,7 @@
 
 use crate::clock::Clock;
 use crate::log::log;
-use crate::module;
+use crate::mail::*;
 
 /// With calls out and nothing heard for this long at most, the connection is held for dead. It begins with
 /// one call's time-out: later answers are of no use, and each call more that goes to a dead connection is
@@ -23,13 +23,6 @@
 /// An answer is a word and a number; a longer line is none.
 const LINE: usize = 128;
 
-pub struct Call {
-    pub name: String,
-    pub add: f64,
-    pub keep: Duration,
-    pub at: Duration,
-}
-
 /// A call on its way, with the place in the stream where its last byte stands; none once it is given up,
 /// for its answer still takes its turn.
 struct Sent {
@@ -43,14 +36,8 @@
     pub timeout: Duration,
     pub connect_timeout: Duration,
     pub clock: Clock,
-    pub module: mpsc::Sender<module::Mail>,
-    pub mailbox: mpsc::Receiver<Mail>,
-}
-
-pub enum Mail {
-    Call(Call),
-    /// It is at another address from now on.
-    Move(SocketAddr),
+    pub module: mpsc::Sender<ToModule>,
+    pub mailbox: mpsc::Receiver<ToCounter>,
 }
 
 #[derive(Default)]
@@ -129,8 +116,8 @@
         loop {
             if waiting.is_empty() {
                 match self.mailbox.recv().await {
-                    Some(Mail::Call(call)) => waiting.push_back(call),
-                    Some(Mail::Move(at)) => self.at = at,
+                    Some(ToCounter::Call(call)) => waiting.push_back(call),
+                    Some(ToCounter::Move(at)) => self.at = at,
                     None => return,
                 }
                 continue;
@@ -184,8 +171,8 @@
                     return Some(socket.and_then(|s| s.set_nodelay(true).map(|()| s)).map_err(Left::from));
                 }
                 mail = self.mailbox.recv() => match mail? {
-                    Mail::Call(call) => waiting.push_back(call),
-                    Mail::Move(at) => {
+                    ToCounter::Call(call) => waiting.push_back(call),
+                    ToCounter::Move(at) => {
                         self.at = at;
                         return Some(Err(Left::Moved));
                     }
@@ -250,8 +237,8 @@
                     let mut mail = Some(mail?);
                     while let Some(next) = mail {
                         match next {
-                            Mail::Call(call) => stream.encode(call),
-                            Mail::Move(at) => (self.at, moved) = (at, true),
+                            ToCounter::Call(call) => stream.encode(call),
+                            ToCounter::Move(at) => (self.at, moved) = (at, true),
                         }
                         mail = if moved { None } else { self.mailbox.try_recv().ok() };
                     }
@@ -292,6 +279,6 @@
     async fn tell(&self, call: Option<Call>, outcome: Outcome, total: f64) {
         let Some(Call { name, at, .. }) = call else { return };
         let latency = self.clock.now().saturating_sub(at);
-        self.module.send(module::Mail::Total { name, outcome, total, latency }).await.ok();
+        self.module.send(ToModule::Total { name, outcome, total, latency }).await.ok();
     }
 }
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -1,6 +1,5 @@
 //! The program's phases, from start to exit, as the named states of one object.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,15 +12,17 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::backends::Fleet;
+use crate::backends::{Backend, Fleet};
 use crate::clients::Clients;
 use crate::clock::Clock;
 use crate::config::{Config, Places};
-use crate::counter::{self, Counter};
-use crate::list::{self, List, Numbers};
+use crate::counter::Counter;
+use crate::list::{List, Numbers};
 use crate::log::log;
-use crate::module::{Mail, Module, State};
+use crate::mail::*;
+use crate::module::{Module, State};
 use crate::peers::Peers;
+use crate::stage::{Now, Stage};
 use crate::witness::Witness;
 
 /// Room in the mailboxes: the module's for all that its peers can have on the way, a peer's for a burst.
@@ -38,30 +39,9 @@
 const LONGEST: Duration = Duration::from_secs(3);
 const BEFORE: Duration = Duration::from_millis(20);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Stage {
-    /// Reads its configuration, binds its sockets, starts its actors.
-    Starting,
-    /// Takes invocations; `/up` says so.
-    Serving,
-    /// SIGHUP came: reads its configuration anew and moves the list and the counter; serves all the while.
-    Reloading,
-    /// SIGTERM came: goes on accepting, each answer ends its connection.
-    Draining,
-    /// Accepts nothing more, owes the last answers.
-    Finishing,
-    Ended,
-}
-
-impl Stage {
-    /// Whether new invocations are welcome.
-    pub fn serves(self) -> bool {
-        matches!(self, Stage::Serving | Stage::Reloading)
-    }
-}
-
+#[derive(Default)]
 pub struct Life {
-    stage: Cell<Stage>,
+    now: Rc<Now>,
 }
 
 /// What runs from one stage to the next.
@@ -75,36 +55,23 @@
     terminate: Signal,
     reload: Signal,
     places: Places,
-    list: mpsc::Sender<list::Mail>,
-    counter: Option<mpsc::Sender<counter::Mail>>,
+    list: mpsc::Sender<ToList>,
+    counter: Option<mpsc::Sender<ToCounter>>,
 }
 
 impl Life {
-    pub fn new() -> Rc<Self> {
-        Rc::new(Life { stage: Cell::new(Stage::Starting) })
-    }
-
-    pub fn stage(&self) -> Stage {
-        self.stage.get()
-    }
-
-    fn enter(&self, stage: Stage, name: &str) {
-        self.stage.set(stage);
-        log!(info, "stage", "{name}: {stage:?}");
-    }
-
     /// From start to exit.
-    pub async fn run(self: Rc<Self>, config: Config) -> Result<(), String> {
+    pub async fn run(self, config: Config) -> Result<(), String> {
         let name = config.name.clone();
         config.notes.iter().for_each(|note| log!(info, "not-on-sockets", "{note}"));
         config.unknown.iter().for_each(|key| log!(warn, "key-unknown", "{key}: not read"));
         let mut running = self.start(config).await?;
         loop {
-            self.enter(Stage::Serving, &name);
+            self.now.enter(Stage::Serving, &name);
             tokio::select! {
                 _ = running.terminate.recv() => break,
                 _ = running.reload.recv() => {
-                    self.enter(Stage::Reloading, &name);
+                    self.now.enter(Stage::Reloading, &name);
                     if let Err(why) = running.move_to(Config::read()).await {
                         log!(warn, "reload-refused", "{why}; the old configuration stays");
                     }
@@ -112,22 +79,22 @@
                 ended = running.actors.next() => return Err(format!("an actor ended: {ended:?}")),
             }
         }
-        self.enter(Stage::Draining, &name);
+        self.now.enter(Stage::Draining, &name);
         let end = Instant::now() + running.grace;
         tokio::select! {
             () = sleep(ACCEPT_ON) => {}
             ended = running.actors.next() => return Err(format!("an actor ended: {ended:?}")),
         }
-        self.enter(Stage::Finishing, &name);
+        self.now.enter(Stage::Finishing, &name);
         running.accepting.abort();
         running.clients.close();
         // Invocations end by their clients' time; a client that never reads its answer must not hold us.
         timeout_at(end, running.clients.all_gone()).await.ok();
-        self.enter(Stage::Ended, &name);
+        self.now.enter(Stage::Ended, &name);
         Ok(())
     }
 
-    async fn start(self: &Rc<Self>, config: Config) -> Result<Running, String> {
+    async fn start(&self, config: Config) -> Result<Running, String> {
         // SIGHUP ends a program that has not asked for it.
         let reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
         let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
@@ -135,7 +102,7 @@
         let (to_module, mailbox) = mpsc::channel(MODULE_ROOM);
         let places = config.places;
         let fleet = Fleet::new(&config, to_module.clone());
-        let clients = Rc::new(Clients::new(&config, clock, self.clone(), to_module.clone()));
+        let clients = Rc::new(Clients::new(&config, clock, self.now.clone(), to_module.clone()));
         let (limits, facts) = (&config.settings.limits, config.facts);
         let actors = FuturesUnordered::new();
         let longest = config.settings.operations.iter().map(|o| o.integration_timeout).max();
@@ -173,14 +140,14 @@
             rules: Rules::new(config.seed, config.settings, clock.now()),
             clock,
             mailbox,
-            fleet,
+            hire: Box::new(move |at| Backend::hire(&fleet, at)),
             counter: counter.clone(),
             list: to_list.clone(),
             peers,
             witness,
             state: State::default(),
         };
-        to_module.send(Mail::Listed(known)).await.map_err(|e| e.to_string())?;
+        to_module.send(ToModule::Listed(known)).await.map_err(|e| e.to_string())?;
         actors.push(tokio::task::spawn_local(module.run()));
         let list = List {
             at: places.discovery,
@@ -216,12 +183,12 @@
     async fn move_to(&mut self, config: Result<Config, String>) -> Result<(), String> {
         let (old, new) = (self.places, config?.places);
         if new.discovery != old.discovery {
-            self.list.send(list::Mail::Move(new.discovery)).await.map_err(|e| e.to_string())?;
+            self.list.send(ToList::Move(new.discovery)).await.map_err(|e| e.to_string())?;
         }
         if let (Some(counter), Some(at)) = (&self.counter, new.counter)
             && new.counter != old.counter
         {
-            counter.send(counter::Mail::Move(at)).await.map_err(|e| e.to_string())?;
+            counter.send(ToCounter::Move(at)).await.map_err(|e| e.to_string())?;
         }
         self.places = new;
         Ok(())
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,7 +17,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::log::log;
-use crate::module;
+use crate::mail::*;
 
 /// How long a watch may wait, and what is given it beyond before it is held for lost. A watch that fell
 /// silent looks like one with nothing to tell: for so long work goes to backends that are gone.
@@ -58,13 +57,6 @@
     1.0
 }
 
-/// A list as the module takes it, with where each backend is reached.
-pub struct Listed {
-    pub form: ListForm,
-    pub entries: Arc<[Entry]>,
-    pub addrs: Vec<SocketAddr>,
-}
-
 /// Numbers for the names that discovery uses.
 pub struct Numbers {
     zones: Vec<String>,
@@ -133,21 +125,12 @@
     }
 }
 
-pub enum Mail {
-    Watch {
-        on: bool,
-    },
-    Fetch,
-    /// It is at another address from now on.
-    Move(SocketAddr),
-}
-
 pub struct List {
     pub at: SocketAddr,
     pub numbers: Numbers,
     pub mode: Discovery,
-    pub module: mpsc::Sender<module::Mail>,
-    pub mailbox: mpsc::Receiver<Mail>,
+    pub module: mpsc::Sender<ToModule>,
+    pub mailbox: mpsc::Receiver<ToList>,
     /// Told once the module has a list of this life.
     pub first: Option<oneshot::Sender<()>>,
 }
@@ -161,9 +144,9 @@
             if !watching {
                 match self.mailbox.recv().await {
                     None => return,
-                    Some(Mail::Watch { on }) => watching = on,
-                    Some(Mail::Fetch) => {}
-                    Some(Mail::Move(at)) => {
+                    Some(ToList::Watch { on }) => watching = on,
+                    Some(ToList::Fetch) => {}
+                    Some(ToList::Move(at)) => {
                         (self.at, link) = (at, None);
                         continue;
                     }
@@ -184,8 +167,8 @@
                     answer = &mut call => break Some(answer),
                     mail = self.mailbox.recv() => match mail {
                         None => return,
-                        Some(Mail::Watch { on: false }) if self.mode == Discovery::Subscribed => break None,
-                        Some(Mail::Move(at)) => {
+                        Some(ToList::Watch { on: false }) if self.mode == Discovery::Subscribed => break None,
+                        Some(ToList::Move(at)) => {
                             moved = Some(at);
                             break None;
                         }
@@ -206,7 +189,7 @@
                     let form = if page.complete { ListForm::Replace } else { ListForm::Update };
                     if page.complete || !page.members.is_empty() {
                         let listed = self.numbers.listed(page, form);
-                        if self.module.send(module::Mail::Listed(listed)).await.is_err() {
+                        if self.module.send(ToModule::Listed(listed)).await.is_err() {
                             return;
                         }
                     }
@@ -219,7 +202,7 @@
                     if self.mode == Discovery::Subscribed {
                         watching = false;
                         let none = Listed { form: ListForm::Unavailable, entries: [].into(), addrs: vec![] };
-                        if self.module.send(module::Mail::Listed(none)).await.is_err() {
+                        if self.module.send(ToModule::Listed(none)).await.is_err() {
                             return;
                         }
                     } else {
--- /dev/null
+++ b/crates/gateway/src/mail.rs
@@ -0,0 +1,140 @@
+//! What the actors say to each other: types only. Whoever sends or receives imports this file, not the other.
+
+use std::cell::{Cell, RefCell};
+use std::net::{Shutdown, SocketAddr};
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use damsonbeam::interface::*;
+use hyper::header::HeaderMap;
+use hyper::{Method, Uri};
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+
+/// To the module.
+pub enum ToModule {
+    Listed(Listed),
+    Invocation { told: Invocation, ask: Rc<Ask>, answer: oneshot::Sender<Answer> },
+    Left { inv: InvId },
+    Done(Done),
+    Total { name: String, outcome: Outcome, total: f64, latency: Duration },
+    Peer { from: GatewayId, bytes: Vec<u8> },
+}
+
+/// The one final answer of an invocation.
+pub enum Answer {
+    Succeeded(Reply),
+    Throttled(Option<Duration>),
+    Errored,
+}
+
+/// What of a client's request goes on to a backend.
+pub struct Ask {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// A backend's answer that goes to the client.
+pub struct Reply {
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// To a backend.
+pub enum ToBackend {
+    Deliver(Job),
+    CloseIdle,
+}
+
+pub struct Job {
+    pub inv: InvId,
+    pub no: DeliveryNo,
+    pub ask: Rc<Ask>,
+    /// How long the gateway will wait.
+    pub wait: Duration,
+    pub line: Rc<Line>,
+}
+
+/// How a delivery ended; the reply with a succeeded one.
+pub struct Done {
+    pub inv: InvId,
+    pub no: DeliveryNo,
+    pub outcome: Outcome,
+    pub reply: Option<Reply>,
+    pub report: Report,
+}
+
+pub type Socket = RefCell<TcpStream>;
+
+/// A delivery's hold on its connection, by which it is given up.
+#[derive(Default)]
+pub struct Line {
+    pub over: Cell<bool>,
+    pub socket: RefCell<Weak<Socket>>,
+}
+
+impl Line {
+    /// Ends the connection at once: whatever is sent after this leaves later.
+    pub fn give_up(&self) {
+        self.over.set(true);
+        if let Some(socket) = self.socket.borrow().upgrade() {
+            SockRef::from(&*socket.borrow()).shutdown(Shutdown::Both).ok();
+        }
+    }
+}
+
+/// A backend's actor, as the module reaches it.
+pub struct Peer {
+    pub at: SocketAddr,
+    pub mailbox: mpsc::Sender<ToBackend>,
+    /// It drains or is gone: what is not written to it yet is not written any more.
+    pub shut: Rc<Cell<bool>>,
+}
+
+impl Drop for Peer {
+    fn drop(&mut self) {
+        self.shut.set(true);
+    }
+}
+
+/// A list as the module takes it, with where each backend is reached.
+pub struct Listed {
+    pub form: ListForm,
+    pub entries: Arc<[Entry]>,
+    pub addrs: Vec<SocketAddr>,
+}
+
+/// To the list.
+pub enum ToList {
+    Watch {
+        on: bool,
+    },
+    Fetch,
+    /// It is at another address from now on.
+    Move(SocketAddr),
+}
+
+pub struct Call {
+    pub name: String,
+    pub add: f64,
+    pub keep: Duration,
+    pub at: Duration,
+}
+
+/// To the counter.
+pub enum ToCounter {
+    Call(Call),
+    /// It is at another address from now on.
+    Move(SocketAddr),
+}
+
+/// To the other gateways; to all where none is named.
+pub struct ToPeers {
+    pub to: Option<GatewayId>,
+    pub bytes: Vec<u8>,
+}
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -1,6 +1,5 @@
 //! The module's actor: owns the rules, feeds them events in order of arrival, carries out their actions.
 
-use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,28 +10,14 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep_until;
 
-use crate::backends::{self, Ask, Backend, Done, Fleet, Job, Line};
-use crate::clients::Answer;
 use crate::clock::Clock;
-use crate::counter::{self, Call};
-use crate::list::{self, Listed};
 use crate::log::log;
-use crate::peers;
+use crate::mail::*;
+use crate::sizes::DATAGRAM;
 use crate::witness::{self, Witness};
 
 /// Events taken from the mailbox at a time.
 const BATCH: usize = 64;
-/// Room in a backend's mailbox: more deliveries than a backend's places at any time.
-const JOBS: usize = 256;
-
-pub enum Mail {
-    Listed(Listed),
-    Invocation { told: Invocation, ask: Rc<Ask>, answer: oneshot::Sender<Answer> },
-    Left { inv: InvId },
-    Done(Done),
-    Total { name: String, outcome: Outcome, total: f64, latency: Duration },
-    Peer { from: GatewayId, bytes: Vec<u8> },
-}
 
 /// An invocation that is not over, or that has deliveries out.
 struct Held {
@@ -58,27 +43,15 @@
     Report,
 }
 
-struct Peer {
-    at: SocketAddr,
-    mailbox: mpsc::Sender<backends::Mail>,
-    /// It drains or is gone: what is not written to it yet is not written any more.
-    shut: Rc<Cell<bool>>,
-}
-
-impl Drop for Peer {
-    fn drop(&mut self) {
-        self.shut.set(true);
-    }
-}
-
 pub struct Module {
     pub rules: Rules,
     pub clock: Clock,
-    pub mailbox: mpsc::Receiver<Mail>,
-    pub fleet: Rc<Fleet>,
-    pub counter: Option<mpsc::Sender<counter::Mail>>,
-    pub list: mpsc::Sender<list::Mail>,
-    pub peers: Option<mpsc::Sender<peers::Mail>>,
+    pub mailbox: mpsc::Receiver<ToModule>,
+    /// Starts a backend's actor.
+    pub hire: Box<dyn Fn(SocketAddr) -> Peer>,
+    pub counter: Option<mpsc::Sender<ToCounter>>,
+    pub list: mpsc::Sender<ToList>,
+    pub peers: Option<mpsc::Sender<ToPeers>>,
     /// Where `witness` is set: the other gateways' adds, and the peers (by number) to report to.
     pub witness: Option<(Witness, Vec<GatewayId>)>,
     pub state: State,
@@ -140,30 +113,30 @@
 
     fn report(&mut self, now: Duration) {
         let (Some((witness, to)), Some(peers)) = (&mut self.witness, &self.peers) else { return };
-        for bytes in witness.report(peers::MOST) {
+        for bytes in witness.report(DATAGRAM) {
             for g in to.iter() {
-                peers.try_send(peers::Mail { to: Some(*g), bytes: bytes.clone() }).ok();
+                peers.try_send(ToPeers { to: Some(*g), bytes: bytes.clone() }).ok();
             }
         }
         witness.forget(1 << 16);
         self.state.due.insert((now + witness::EVERY, Due::Report));
     }
 
-    fn mail(&mut self, mail: Mail) {
+    fn mail(&mut self, mail: ToModule) {
         match mail {
-            Mail::Invocation { told, ask, answer } => {
+            ToModule::Invocation { told, ask, answer } => {
                 let held =
                     Held { ask, deadline: told.deadline, answer: Some(answer), deliveries: Vec::new() };
                 self.state.held.insert(told.inv, held);
                 self.feed(Event::Invocation(told));
             }
-            Mail::Left { inv } => {
+            ToModule::Left { inv } => {
                 if self.state.held.get_mut(&inv).and_then(|h| h.answer.take()).is_some() {
                     self.feed(Event::Left { inv });
                     self.tidy(inv);
                 }
             }
-            Mail::Done(Done { inv, no, outcome, reply, report }) => {
+            ToModule::Done(Done { inv, no, outcome, reply, report }) => {
                 // One that was given up has had its outcome.
                 let Some(out) = self.end(inv, no) else { return };
                 if let Some(reply) = reply {
@@ -171,14 +144,14 @@
                 }
                 self.tell(inv, no, &out, outcome, report);
             }
-            Mail::Total { name, outcome, mut total, latency } => {
+            ToModule::Total { name, outcome, mut total, latency } => {
                 if let Some((witness, _)) = self.witness.as_ref().filter(|_| outcome == Outcome::Ok) {
                     total = witness.total(&name, total, self.clock.now());
                 }
                 self.feed(Event::Total { name, outcome, total, latency });
             }
-            Mail::Listed(listed) => self.listed(listed),
-            Mail::Peer { from, bytes } => {
+            ToModule::Listed(listed) => self.listed(listed),
+            ToModule::Peer { from, bytes } => {
                 let now = self.clock.now();
                 if !self.witness.as_mut().is_some_and(|(w, _)| w.heard(from.0, &bytes, now)) {
                     self.feed(Event::Peer { from, bytes })
@@ -197,11 +170,7 @@
             if e.health == Health::Gone {
                 self.state.backends.remove(&e.tgt);
             } else if self.state.backends.get(&e.tgt).is_none_or(|b| b.at != at) {
-                let (to, mailbox) = mpsc::channel(JOBS);
-                let shut = Rc::<Cell<bool>>::default();
-                let backend = Backend { at, fleet: self.fleet.clone(), shut: shut.clone(), mailbox };
-                tokio::task::spawn_local(backend.run());
-                self.state.backends.insert(e.tgt, Peer { at, mailbox: to, shut });
+                self.state.backends.insert(e.tgt, (self.hire)(at));
             }
             if let Some(peer) = self.state.backends.get(&e.tgt) {
                 peer.shut.set(e.health != Health::Up);
@@ -288,15 +257,13 @@
                 let named = self.witness.as_ref().map(|_| name.clone());
                 let call = Call { name, add, keep, at: self.clock.now() };
                 let left = match &self.counter {
-                    Some(counter) => {
-                        counter.try_send(counter::Mail::Call(call)).err().map(|e| e.into_inner())
-                    }
-                    None => Some(counter::Mail::Call(call)),
+                    Some(counter) => counter.try_send(ToCounter::Call(call)).err().map(|e| e.into_inner()),
+                    None => Some(ToCounter::Call(call)),
                 };
                 if let (None, Some(name), Some((witness, _))) = (&left, named, &mut self.witness) {
                     witness.added(&name, add);
                 }
-                if let Some(counter::Mail::Call(Call { name, .. })) = left {
+                if let Some(ToCounter::Call(Call { name, .. })) = left {
                     log!(warn, "counter-crowded", "a call not sent");
                     let (outcome, latency) = (Outcome::Full, Duration::ZERO);
                     self.state.next.push_back(Event::Total { name, outcome, total: 0.0, latency });
@@ -304,7 +271,7 @@
             }
             Action::CloseIdle { tgt } => {
                 if let Some(b) = self.state.backends.get(&tgt) {
-                    b.mailbox.try_send(backends::Mail::CloseIdle).ok();
+                    b.mailbox.try_send(ToBackend::CloseIdle).ok();
                 }
             }
             Action::Probe { tgt } => {
@@ -314,14 +281,14 @@
             }
             Action::Tell { to, bytes } => {
                 if let Some(peers) = &self.peers {
-                    peers.try_send(peers::Mail { to, bytes }).ok();
+                    peers.try_send(ToPeers { to, bytes }).ok();
                 }
             }
             Action::Watch { on } => {
-                self.list.try_send(list::Mail::Watch { on }).ok();
+                self.list.try_send(ToList::Watch { on }).ok();
             }
             Action::Fetch => {
-                self.list.try_send(list::Mail::Fetch).ok();
+                self.list.try_send(ToList::Fetch).ok();
             }
             Action::Log { text } => log!(warn, "module", "{text}"),
         }
@@ -341,7 +308,7 @@
         }
         let job = Job { inv, no, ask: held.ask.clone(), wait, line };
         let sent = self.state.backends.get(&tgt);
-        if sent.is_some_and(|b| b.mailbox.try_send(backends::Mail::Deliver(job)).is_ok()) {
+        if sent.is_some_and(|b| b.mailbox.try_send(ToBackend::Deliver(job)).is_ok()) {
             held.deliveries.push(Some(out));
             self.state.due.insert((now + wait, Due::Delivery(inv, no)));
         } else {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,36 +7,29 @@
 use tokio::sync::mpsc;
 
 use crate::log::log;
-use crate::module;
-
-/// A longer datagram breaks the platform's rules.
-pub const MOST: usize = 256;
-
-pub struct Mail {
-    pub to: Option<GatewayId>,
-    pub bytes: Vec<u8>,
-}
+use crate::mail::*;
+use crate::sizes::DATAGRAM;
 
 pub struct Peers {
     pub socket: UdpSocket,
     pub peers: Vec<SocketAddr>,
     pub all: Option<SocketAddr>,
-    pub module: mpsc::Sender<module::Mail>,
-    pub mailbox: mpsc::Receiver<Mail>,
+    pub module: mpsc::Sender<ToModule>,
+    pub mailbox: mpsc::Receiver<ToPeers>,
 }
 
 impl Peers {
     pub async fn run(mut self) {
-        let mut bytes = [0; MOST + 1];
+        let mut bytes = [0; DATAGRAM + 1];
         loop {
             tokio::select! {
                 mail = self.mailbox.recv() => {
-                    let Some(Mail { to, bytes }) = mail else { return };
+                    let Some(ToPeers { to, bytes }) = mail else { return };
                     let at = match to {
                         Some(g) => self.peers.get(g.0 as usize).copied(),
                         None => self.all,
                     };
-                    if bytes.len() > MOST {
+                    if bytes.len() > DATAGRAM {
                         log!(warn, "peer-message-too-long", "{} bytes, not sent", bytes.len());
                     } else if let Some(at) = at {
                         self.socket.send_to(&bytes, at).await.ok();
@@ -44,9 +37,9 @@
                 }
                 Ok((n, sender)) = self.socket.recv_from(&mut bytes) => {
                     let from = self.peers.iter().position(|p| *p == sender);
-                    if let Some(from) = from.filter(|_| n <= MOST) {
+                    if let Some(from) = from.filter(|_| n <= DATAGRAM) {
                         let (from, bytes) = (GatewayId(from as u32), bytes[..n].to_vec());
-                        if self.module.send(module::Mail::Peer { from, bytes }).await.is_err() {
+                        if self.module.send(ToModule::Peer { from, bytes }).await.is_err() {
                             return;
                         }
                     }
