--- a/crates/adapter/src/translate.rs
+++ b/crates/adapter/src/translate.rs
@@ -93,6 +93,7 @@
                 spread: width,
                 write: mutates,
                 repeat,
+                coming: false,
             }),
         ),
         Happened::FirstByte { gateway_id, msg_id, r#try, backend, wait_time_ns } => (
@@ -184,6 +185,8 @@
         }
         Action::Watch { on } => Output::Observe { gateway_id, on },
         Action::Fetch => Output::Resolve { gateway_id },
+        // The wire has no word for a hand-over, and so no event that asks for one.
+        Action::HandOver(_) => Output::Remark { gateway_id, what: "hand-over".into() },
         Action::Log { text } => Output::Remark { gateway_id, what: text },
     }
 }
--- /dev/null
+++ b/crates/admin/src/figures.rs
@@ -0,0 +1,121 @@
+//! The figures: each is defined once, here, with its meaning, and counted where the event happens.
+//!
+//! All count from the process's start. Clones share the same counts; counting is an atomic addition.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+/// Upper bounds of the bins of answer times, in seconds.
+const TIMES: [f64; 12] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 7.5, 15.0];
+
+#[derive(Clone)]
+pub struct Figures {
+    registry: Registry,
+    /// Invocations by their final answer, for each operation.
+    pub answered: IntCounterVec,
+    pub deferred: IntCounterVec,
+    pub errored: IntCounterVec,
+    /// Deliveries whose last byte was written to a backend.
+    pub sends: IntCounter,
+    /// Invocations taken and not ended.
+    pub current: IntGauge,
+    pub cluster_size: IntGauge,
+    pub cluster_unhealthy: IntGauge,
+    pub conf_loaded: IntCounter,
+    pub conf_invalid: IntCounter,
+    /// Why invocations were turned away: before any delivery (quota, line, time), or after one.
+    pub turned_away: IntCounterVec,
+    pub deliveries: IntCounterVec,
+    pub counter_calls: IntCounterVec,
+    pub clients: IntGauge,
+    /// From the last byte of an invocation to its final answer, in seconds; a large one's first byte.
+    pub answer_seconds: Histogram,
+    /// Hand-overs between two processes, by how far they came.
+    pub handovers: IntCounterVec,
+}
+
+impl Figures {
+    /// All figures at 0; fails only where two have one name.
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new_custom(Some("gateway".into()), None)?;
+        let by = |name: &str, help: &str, label: &str| {
+            let all = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(all.clone()))?;
+            prometheus::Result::Ok(all)
+        };
+        let count = |name: &str, help: &str| {
+            let one = IntCounter::new(name, help)?;
+            registry.register(Box::new(one.clone()))?;
+            prometheus::Result::Ok(one)
+        };
+        let gauge = |name: &str, help: &str| {
+            let one = IntGauge::new(name, help)?;
+            registry.register(Box::new(one.clone()))?;
+            prometheus::Result::Ok(one)
+        };
+        let times =
+            HistogramOpts::new("answer_seconds", "Seconds from an invocation's last byte to its answer")
+                .buckets(TIMES.to_vec());
+        let answer_seconds = Histogram::with_opts(times)?;
+        registry.register(Box::new(answer_seconds.clone()))?;
+        Ok(Figures {
+            answered: by("answered", "Invocations served, by operation", "group")?,
+            deferred: by("deferred", "Invocations throttled: trying again is harmless", "group")?,
+            errored: by("errored", "Invocations that failed", "group")?,
+            sends: count("sends", "Deliveries written whole to backends")?,
+            current: gauge("current", "Invocations taken and not ended")?,
+            cluster_size: gauge("cluster_size", "Backends in the list")?,
+            cluster_unhealthy: gauge("cluster_unhealthy", "Listed backends that are avoided now")?,
+            conf_loaded: count("conf_loaded", "Configurations taken at SIGHUP")?,
+            conf_invalid: count("conf_invalid", "Configurations turned down at SIGHUP")?,
+            turned_away: by("turned_away", "Throttled before or after a delivery was made", "when")?,
+            deliveries: by("deliveries", "Deliveries by how they ended", "outcome")?,
+            counter_calls: by("counter_calls", "Calls to the quota counter by how they ended", "outcome")?,
+            clients: gauge("clients", "Clients' connections open")?,
+            answer_seconds,
+            handovers: by("handovers", "Hand-overs to or from another process, by step reached", "step")?,
+            registry,
+        })
+    }
+
+    /// An operation's figures show from the start, at 0.
+    pub fn name(&self, operation: &str) {
+        for all in [&self.answered, &self.deferred, &self.errored] {
+            all.with_label_values(&[operation]);
+        }
+    }
+
+    /// The text form: a line a figure.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Writing to memory fails only for a figure that has no name.
+        TextEncoder::new().encode(&self.registry.gather(), &mut text).ok();
+        text
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_figure_has_the_operators_name_and_its_count() {
+        let figures = Figures::new().unwrap();
+        figures.name("C");
+        figures.clone().answered.with_label_values(&["C"]).inc_by(812);
+        figures.current.set(14);
+        figures.sends.inc();
+        let text = String::from_utf8(figures.text()).unwrap();
+        for line in [
+            "gateway_answered{group=\"C\"} 812",
+            "gateway_deferred{group=\"C\"} 0",
+            "gateway_current 14",
+            "gateway_sends 1",
+            "gateway_conf_invalid 0",
+            "gateway_cluster_unhealthy 0",
+        ] {
+            assert!(text.lines().any(|l| l == line), "{line} is not in {text}");
+        }
+    }
+}
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -10,9 +10,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use damsonbeam::interface::{Outcome, Report};
+use damsonbeam::interface::{Outcome, Report, Settings};
+use damsonbeam_admin::{Figures, IntCounter};
+use damsonbeam_settings::Facts;
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Body;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
@@ -21,14 +22,14 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until, timeout};
 
-use crate::config::Config;
+use crate::bodies::{self, End, Given, Through, Upload};
 use crate::log::log;
 use crate::mail::*;
 use crate::room::Rooms;
-use crate::sizes::{ANSWER, BODY, HEAD};
+use crate::sizes::{BODY, HEAD, LARGE};
 
 /// Part of the time after which the platform closes an idle connection, by which ours are closed.
 const IDLE_PART: (u32, u32) = (3, 4);
@@ -80,6 +81,7 @@
 struct Wire {
     socket: Rc<Socket>,
     meter: Rc<Meter>,
+    sends: IntCounter,
     _open: Open,
 }
 
@@ -108,7 +110,11 @@
 impl AsyncWrite for Wire {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let n = ready!(Pin::new(&mut *self.socket.borrow_mut()).poll_write(cx, bytes))?;
+        let before = self.meter.whole();
         self.meter.wrote(&bytes[..n]);
+        if !before && self.meter.whole() {
+            self.sends.inc();
+        }
         Poll::Ready(Ok(n))
     }
 
@@ -122,7 +128,7 @@
 }
 
 struct Conn {
-    send: SendRequest<Full<Bytes>>,
+    send: SendRequest<Upload>,
     socket: Weak<Socket>,
     meter: Rc<Meter>,
 }
@@ -153,21 +159,29 @@
     pub open: Rc<Cell<usize>>,
     /// The pools of all backends.
     pools: RefCell<Vec<Weak<Pool>>>,
+    figures: Figures,
     rooms: Rooms,
     pub module: mpsc::Sender<ToModule>,
 }
 
 impl Fleet {
-    pub fn new(config: &Config, module: mpsc::Sender<ToModule>) -> Rc<Self> {
-        let facts = &config.facts;
+    pub fn new(
+        settings: &Settings,
+        facts: &Facts,
+        most: usize,
+        bodies: usize,
+        figures: &Figures,
+        module: mpsc::Sender<ToModule>,
+    ) -> Rc<Self> {
         Rc::new(Fleet {
-            connect_timeout: config.settings.limits.connect_timeout,
+            connect_timeout: settings.limits.connect_timeout,
             keep: Duration::from_nanos(facts.ceilings.conn_idle_ns) * IDLE_PART.0 / IDLE_PART.1,
             reports: facts.report.names.clone(),
-            most: config.backends,
+            most,
             open: Rc::default(),
             pools: RefCell::default(),
-            rooms: Rooms::new(config.bodies),
+            figures: figures.clone(),
+            rooms: Rooms::new(bodies),
             module,
         })
     }
@@ -274,7 +288,8 @@
     };
     socket.set_nodelay(true).map_err(|e| e.to_string())?;
     let (socket, meter) = (Rc::new(RefCell::new(socket)), Rc::<Meter>::default());
-    let wire = Wire { socket: socket.clone(), meter: meter.clone(), _open: open };
+    let sends = fleet.figures.sends.clone();
+    let wire = Wire { socket: socket.clone(), meter: meter.clone(), sends, _open: open };
     let handshake = Builder::new().max_buf_size(HEAD).handshake(TokioIo::new(wire)).await;
     let (send, conn) = handshake.map_err(|e| e.to_string())?;
     tokio::task::spawn_local(async move { conn.await.ok() });
@@ -316,13 +331,23 @@
         return None;
     }
     *job.line.socket.borrow_mut() = conn.socket.clone();
-    conn.meter.begin(job.ask.body.len());
+    // Of a body whose length is not known, none can be told to be the last byte but by its end.
+    conn.meter.begin(job.ask.body.length().map_or(usize::MAX, |n| n as usize));
+    let coming = job.ask.body.coming();
     let answer = match conn.send.send_request(request(&job)).await {
-        Ok(answer) => whole(&fleet.rooms, answer).await,
+        Ok(answer) => read(&fleet.rooms, answer).await,
         Err(e) => Err(e.to_string()),
     };
+    let ended = coming.is_some_and(|c| c.ended());
+    if ended && !conn.meter.whole() {
+        fleet.figures.sends.inc();
+    }
+    // What has gone to a backend and is not held goes to no other.
+    if coming.is_some_and(|c| c.spent()) {
+        fleet.module.send(ToModule::Spent { inv: job.inv }).await.ok();
+    }
     match answer {
-        Ok((status, mut headers, body)) => {
+        Ok((status, mut headers, body, end)) => {
             *job.line.socket.borrow_mut() = Weak::new();
             let report = report(&headers, &fleet.reports);
             let outcome = outcome(status, &headers);
@@ -333,11 +358,16 @@
                 Reply { headers, body }
             });
             tell(outcome, reply, report).await;
+            if let Some(end) = end
+                && end.await != Ok(End::Whole)
+            {
+                return None;
+            }
             (!close && !job.line.over.get() && conn.send.ready().await.is_ok()).then_some(conn)
         }
         Err(why) => {
             // Unless the last byte was written it never ran; in doubt it may have.
-            let outcome = if conn.meter.whole() { Outcome::Reset } else { Outcome::ConnectFailed };
+            let outcome = if conn.meter.whole() || ended { Outcome::Reset } else { Outcome::ConnectFailed };
             if !job.line.over.get() {
                 log!(warn, "delivery-broken", "{at}: {why}");
             }
@@ -349,8 +379,8 @@
     }
 }
 
-fn request(job: &Job) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(job.ask.body.clone()));
+fn request(job: &Job) -> Request<Upload> {
+    let mut request = Request::new(Upload::new(&job.ask.body));
     *request.method_mut() = job.ask.method.clone();
     *request.uri_mut() = job.ask.uri.clone();
     *request.headers_mut() = job.ask.headers.clone();
@@ -358,25 +388,35 @@
     request
 }
 
-type Whole = (StatusCode, HeaderMap, Bytes);
+/// An answer: its head, its body, and, where that is passed on as it comes, the word of how it ended.
+type Read = (StatusCode, HeaderMap, Given, Option<oneshot::Receiver<End>>);
 
-async fn whole(rooms: &Rooms, answer: Response<hyper::body::Incoming>) -> Result<Whole, String> {
-    let (head, body) = answer.into_parts();
+async fn read(rooms: &Rooms, answer: Response<hyper::body::Incoming>) -> Result<Read, String> {
+    let (head, mut body) = answer.into_parts();
     let (length, chunks) = (head.headers.get(CONTENT_LENGTH), head.headers.get(TRANSFER_ENCODING));
     // An end by close can't be told from a break, and a length given in both ways is given in none.
     if length.is_some() == chunks.is_some_and(|c| c.as_bytes().eq_ignore_ascii_case(b"chunked")) {
         return Err("an answer of no known length".into());
     }
     let said = body.size_hint().exact();
-    if said.is_some_and(|n| n > ANSWER as u64) {
+    if said.is_some_and(|n| n > LARGE as u64) {
         return Err(format!("an answer of {} bytes", said.unwrap_or_default()));
     }
-    // What fits in a body has its room with its connection; more is taken from what all answers share.
-    let most =
-        if said.is_some_and(|n| n <= BODY as u64) { BODY } else { said.map_or(ANSWER, |n| n as usize) };
-    let room = if most > BODY { Some(rooms.take(most).ok_or("no room for an answer")?) } else { None };
-    let body = Limited::new(body, most).collect().await.map_err(|e| e.to_string())?.to_bytes();
-    Ok((head.status, head.headers, room.into_iter().fold(body, |body, room| room.keep(body))))
+    let (first, whole) = if said.is_some_and(|n| n > BODY as u64) {
+        (Bytes::new(), false)
+    } else {
+        // What may be this large and does not say so has its room from what all answers share.
+        let room = if said.is_none() { Some(rooms.take(BODY).ok_or("no room for an answer")?) } else { None };
+        let (first, whole) = bodies::begin(&mut body).await.map_err(|e| e.to_string())?;
+        (room.into_iter().fold(first, |first, room| room.keep(first)), whole)
+    };
+    if whole {
+        let body = Some(first).filter(|b| !b.is_empty());
+        return Ok((head.status, head.headers, Given::Whole(body), None));
+    }
+    // Its time is its first bytes': a head alone is no answer yet.
+    let (through, end) = Through::new(first, body, said);
+    Ok((head.status, head.headers, Given::Through(Box::new(through)), Some(end)))
 }
 
 fn outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
--- /dev/null
+++ b/crates/gateway/src/bodies.rs
@@ -0,0 +1,320 @@
+//! Bodies on their way through: what does not fit in memory goes from one socket to the other as it comes.
+//!
+//! A body of up to [`BODY`] bytes is held whole, so that another delivery can carry it and a broken answer
+//! never reaches a client. A larger one is streamed: the reader of one side is the writer of the other, so
+//! each waits for the other, and what is on the way at a time is a chunk and a socket's buffer.
+
+use std::cell::{Cell, RefCell};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::sync::oneshot;
+use tokio::time::{Instant, Sleep, sleep, timeout};
+
+use crate::sizes::{BODY, LARGE};
+
+type Error = Box<dyn std::error::Error + Send + Sync>;
+
+/// A client that sends nothing of its body for this long is held for gone.
+const CLIENT_SILENT: Duration = Duration::from_millis(2600);
+/// A backend that gives nothing of an answer begun for this long is held for gone: the answer is cut.
+const BACKEND_SILENT: Duration = Duration::from_secs(30);
+/// What a client still sends after its answer is read for so long, so that the answer reaches it.
+const DRAIN: Duration = Duration::from_secs(10);
+
+/// The start of a body, and whether that was all.
+///
+/// # Errors
+/// Where the body breaks off.
+pub async fn begin(body: &mut Incoming) -> Result<(Bytes, bool), hyper::Error> {
+    let mut parts: Vec<u8> = Vec::new();
+    while parts.len() <= BODY {
+        match body.frame().await {
+            Some(frame) => {
+                if let Ok(data) = frame?.into_data() {
+                    // Most bodies come in one part: no copy then.
+                    if parts.is_empty() && body.is_end_stream() {
+                        return Ok((data, true));
+                    }
+                    parts.extend_from_slice(&data);
+                }
+            }
+            None => return Ok((parts.into(), true)),
+        }
+    }
+    Ok((parts.into(), body.is_end_stream()))
+}
+
+/// A request's body that is still coming, shared by the deliveries that may carry it.
+pub struct Coming {
+    first: Bytes,
+    rest: RefCell<Option<Incoming>>,
+    /// Bytes in all, where the client said.
+    pub length: Option<u64>,
+    came: Cell<u64>,
+    /// Part of what is not held has gone to a backend: no other delivery can carry it.
+    spent: Cell<bool>,
+    ended: Cell<bool>,
+    /// Told once its last byte has come.
+    whole: RefCell<Option<Box<dyn FnOnce()>>>,
+}
+
+impl Coming {
+    pub fn new(first: Bytes, rest: Incoming, length: Option<u64>, whole: Box<dyn FnOnce()>) -> Rc<Self> {
+        Rc::new(Coming {
+            came: Cell::new(first.len() as u64),
+            first,
+            rest: RefCell::new(Some(rest)),
+            length,
+            spent: Cell::default(),
+            ended: Cell::default(),
+            whole: RefCell::new(Some(whole)),
+        })
+    }
+
+    pub fn spent(&self) -> bool {
+        self.spent.get()
+    }
+
+    /// All of it has gone to a backend, or is about to: it may run.
+    pub fn ended(&self) -> bool {
+        self.ended.get()
+    }
+
+    /// Reads what still comes and drops it, so that the client goes on to read its answer.
+    pub async fn drain(&self) {
+        let Some(mut rest) = self.rest.borrow_mut().take() else { return };
+        let read = async {
+            let mut read = 0;
+            while let Ok(Some(Ok(frame))) = timeout(CLIENT_SILENT, rest.frame()).await {
+                read += frame.data_ref().map_or(0, Bytes::len);
+                if read > LARGE {
+                    return;
+                }
+            }
+        };
+        timeout(DRAIN, read).await.ok();
+    }
+
+    fn poll(&self, cx: &mut Context) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        let mut rest = self.rest.borrow_mut();
+        let Some(body) = rest.as_mut() else { return Poll::Ready(Some(Err("the body is given up".into()))) };
+        let frame = ready!(Pin::new(&mut *body).poll_frame(cx));
+        match &frame {
+            Some(Ok(frame)) => {
+                self.spent.set(true);
+                self.came.set(self.came.get() + frame.data_ref().map_or(0, Bytes::len) as u64);
+                if self.came.get() > LARGE as u64 {
+                    return Poll::Ready(Some(Err("the body is too large".into())));
+                }
+            }
+            Some(Err(_)) => {}
+            None => self.ended.set(true),
+        }
+        if body.is_end_stream() {
+            self.ended.set(true);
+        }
+        if self.ended.get()
+            && let Some(whole) = self.whole.borrow_mut().take()
+        {
+            whole();
+        }
+        Poll::Ready(frame.map(|f| f.map_err(Error::from)))
+    }
+}
+
+/// What a request carries.
+#[derive(Clone)]
+pub enum Load {
+    Whole(Bytes),
+    Coming(Rc<Coming>),
+}
+
+impl Load {
+    /// Bytes, where they are known.
+    pub fn length(&self) -> Option<u64> {
+        match self {
+            Load::Whole(bytes) => Some(bytes.len() as u64),
+            Load::Coming(coming) => coming.length,
+        }
+    }
+
+    pub fn coming(&self) -> Option<&Rc<Coming>> {
+        match self {
+            Load::Whole(_) => None,
+            Load::Coming(coming) => Some(coming),
+        }
+    }
+}
+
+/// A request's body as one delivery carries it.
+pub struct Upload {
+    first: Option<Bytes>,
+    rest: Option<Rc<Coming>>,
+    length: Option<u64>,
+    alarm: Option<Pin<Box<Sleep>>>,
+}
+
+impl Upload {
+    pub fn new(load: &Load) -> Self {
+        match load {
+            Load::Whole(bytes) => {
+                let first = Some(bytes.clone()).filter(|b| !b.is_empty());
+                Upload { first, rest: None, length: load.length(), alarm: None }
+            }
+            Load::Coming(coming) => {
+                let (first, rest) = (Some(coming.first.clone()), Some(coming.clone()));
+                Upload { first, rest, length: coming.length, alarm: None }
+            }
+        }
+    }
+}
+
+impl Body for Upload {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        let Some(rest) = self.rest.clone() else { return Poll::Ready(None) };
+        match rest.poll(cx) {
+            Poll::Ready(frame) => {
+                self.alarm = None;
+                Poll::Ready(frame)
+            }
+            Poll::Pending => {
+                let alarm = self.alarm.get_or_insert_with(|| Box::pin(sleep(CLIENT_SILENT)));
+                ready!(alarm.as_mut().poll(cx));
+                Poll::Ready(Some(Err("the client stopped sending".into())))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.first.is_none() && self.rest.as_ref().is_none_or(|r| r.ended())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.length.map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
+
+/// How an answer passed on as it came has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Whole,
+    /// The backend broke it off, or fell silent.
+    Broken,
+    /// The client left before its end.
+    Left,
+}
+
+/// An answer's body that still comes from its backend.
+pub struct Through {
+    first: Option<Bytes>,
+    rest: Incoming,
+    length: Option<u64>,
+    alarm: Option<Pin<Box<Sleep>>>,
+    broken: bool,
+    over: bool,
+    /// Told whether it ended whole, so that its connection can carry the next.
+    end: Option<oneshot::Sender<End>>,
+    /// The same for whoever counts answers.
+    pub count: Option<Box<dyn FnOnce(End)>>,
+}
+
+impl Through {
+    pub fn new(first: Bytes, rest: Incoming, length: Option<u64>) -> (Self, oneshot::Receiver<End>) {
+        let (end, ended) = oneshot::channel();
+        let first = Some(first).filter(|f| !f.is_empty());
+        let (alarm, count) = (None, None);
+        (Through { first, rest, length, alarm, broken: false, over: false, end: Some(end), count }, ended)
+    }
+}
+
+impl Body for Through {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        let frame = match Pin::new(&mut self.rest).poll_frame(cx) {
+            Poll::Ready(frame) => frame,
+            Poll::Pending => {
+                let until = Instant::now() + BACKEND_SILENT;
+                let alarm = self.alarm.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(until)));
+                ready!(alarm.as_mut().poll(cx));
+                self.broken = true;
+                return Poll::Ready(Some(Err("the backend fell silent".into())));
+            }
+        };
+        self.alarm = None;
+        match &frame {
+            Some(Err(_)) => self.broken = true,
+            Some(Ok(_)) => self.over = self.rest.is_end_stream(),
+            None => self.over = true,
+        }
+        Poll::Ready(frame.map(|f| f.map_err(Error::from)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.first.is_none() && self.rest.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.length.map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
+
+impl Drop for Through {
+    fn drop(&mut self) {
+        let end = match (self.broken, self.over) {
+            (true, _) => End::Broken,
+            (false, true) => End::Whole,
+            (false, false) => End::Left,
+        };
+        self.end.take().map(|to| to.send(end).ok());
+        self.count.take().into_iter().for_each(|count| count(end));
+    }
+}
+
+/// An answer's body: whole, or as it comes.
+pub enum Given {
+    Whole(Option<Bytes>),
+    Through(Box<Through>),
+}
+
+impl Body for Given {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        match &mut *self {
+            Given::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Given::Through(body) => Pin::new(&mut **body).poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Given::Whole(bytes) => bytes.is_none(),
+            Given::Through(body) => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Given::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
+            Given::Through(body) => body.size_hint(),
+        }
+    }
+}
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -1,26 +1,27 @@
 //! The clients: a listener, tower services over hyper's connections, and the registry of those connections.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::str::FromStr;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::Bytes;
-use damsonbeam::interface::{CustomerId, GatewayId, InvId, Invocation, OpId, PlanId, Repeat};
-use damsonbeam_settings::Class;
-use http_body_util::{BodyExt, Full, Limited};
+use damsonbeam::interface::{CustomerId, GatewayId, InvId, Invocation, OpId, PlanId, Repeat, Settings};
+use damsonbeam_admin::Figures;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -28,14 +29,14 @@
 use tower::Service;
 
 use crate::backends::{ID, TIME_LEFT, end_to_end};
+use crate::bodies::{self, Coming, End, Given, Load};
 use crate::clock::Clock;
-use crate::config::Config;
 use crate::heads::Heads;
 use crate::log::log;
 use crate::mail::*;
 use crate::room::Rooms;
-use crate::sizes::{BODY, HEAD};
-use crate::stage::{Now, Stage};
+use crate::sizes::{BODY, HEAD, LARGE};
+use crate::stage::Now;
 
 /// Connections taken beyond the cap, only to be told so.
 const BEYOND: usize = 16;
@@ -43,9 +44,19 @@
 const PAUSE: Duration = Duration::from_millis(20);
 /// A client that says it waits longer is not believed.
 const WAIT: Duration = Duration::from_secs(24 * 3600);
-/// In this time a request comes whole: from the connection's start, later from its own first byte. Usual
-/// clients need a fraction; one that says nothing, or never ends, is owed a close within 3 s.
-const WHOLE: Duration = Duration::from_secs(2);
+/// In this time a head comes whole: from the connection's start, later from its own first byte. Usual
+/// clients need a fraction, some 2 s; one that says nothing, or never ends, is owed a close within 3 s.
+const WHOLE: Duration = Duration::from_millis(2600);
+/// A body may be slow, but not silent for longer than this, nor slower than so many bytes a second once it
+/// has come for a while: a byte now and then would hold its place for good.
+const SILENT: Duration = Duration::from_millis(2600);
+const SLOW_FOR: Duration = Duration::from_secs(5);
+const SLOWEST: u64 = 16 << 10;
+/// A client that takes nothing of an answer that is streamed to it for this long is held for gone: at 64 kB
+/// a second a socket's buffer of megabytes frees room only every ten seconds or so.
+const UNREAD: Duration = Duration::from_secs(30);
+/// A body that still comes when its invocation is told runs on no client's time yet; this bounds it.
+const UPLOAD: Duration = Duration::from_secs(600);
 /// A connection without a request is closed after this: some clients ask once and hold it for good, and the
 /// platform allows it from 2 s on.
 const QUIET: Duration = Duration::from_millis(2200);
@@ -55,7 +66,7 @@
 /// Bytes of an invocation's name at most.
 const NAME: usize = 64;
 
-type Reply200 = Response<Full<Bytes>>;
+type Reply200 = Response<Given>;
 type Answering = Pin<Box<dyn Future<Output = Result<Reply200, Infallible>>>>;
 
 /// What a client's connection waits for.
@@ -65,6 +76,10 @@
     New,
     /// The rest of a later request.
     Asking,
+    /// A request's body.
+    Giving,
+    /// That the client reads an answer passed on as it comes.
+    Taking,
     /// Our answer.
     Held,
     /// The next request.
@@ -75,11 +90,16 @@
 struct Conn {
     stand: Cell<Stand>,
     since: Cell<Duration>,
+    /// When its request's body began to come, and bytes of it so far.
+    began: Cell<Duration>,
+    came: Cell<u64>,
     proven: Cell<bool>,
     heads: RefCell<Heads>,
     /// To be closed: after what is open on it, or at once.
     close: Notify,
     at_once: Cell<bool>,
+    /// Its request's body was not read to the end: its answer ends the connection.
+    unread: Cell<bool>,
 }
 
 impl Conn {
@@ -92,6 +112,11 @@
     fn due(&self) -> Option<Duration> {
         match self.stand.get() {
             Stand::New | Stand::Asking => Some(self.since.get() + WHOLE),
+            Stand::Giving => {
+                let paid = Duration::from_millis(self.came.get() * 1000 / SLOWEST);
+                Some((self.since.get() + SILENT).min(self.began.get() + SLOW_FOR + paid))
+            }
+            Stand::Taking => Some(self.since.get() + UNREAD),
             Stand::Quiet => Some(self.since.get() + QUIET),
             Stand::Held => None,
         }
@@ -100,7 +125,7 @@
 
 /// A client's socket, with an ear on what comes in.
 struct Ear {
-    socket: TcpStream,
+    socket: Rc<RefCell<TcpStream>>,
     conn: Rc<Conn>,
     clock: Clock,
 }
@@ -108,19 +133,30 @@
 impl Ear {
     /// A client that goes on reading its answer, however slowly, is not quiet yet.
     fn wrote(&self) {
-        if self.conn.stand.get() == Stand::Quiet {
+        if matches!(self.conn.stand.get(), Stand::Quiet | Stand::Taking) {
             self.conn.since.set(self.clock.now());
         }
     }
 }
 
+/// Whether something has come that nobody has read yet: closed now, it would be lost.
+fn unread(socket: &RefCell<TcpStream>) -> bool {
+    let peeked = SockRef::from(&*socket.borrow()).peek(&mut [MaybeUninit::uninit()]);
+    peeked.is_ok_and(|n| n > 0)
+}
+
 impl AsyncRead for Ear {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.socket).poll_read(cx, buf))?;
+        ready!(Pin::new(&mut *self.socket.borrow_mut()).poll_read(cx, buf))?;
         let came = &buf.filled()[before..];
-        if !came.is_empty() && self.conn.stand.get() == Stand::Quiet {
-            self.conn.turn(Stand::Asking, self.clock.now());
+        match self.conn.stand.get() {
+            Stand::Quiet if !came.is_empty() => self.conn.turn(Stand::Asking, self.clock.now()),
+            Stand::Giving => {
+                self.conn.since.set(self.clock.now());
+                self.conn.came.set(self.conn.came.get() + came.len() as u64);
+            }
+            _ => {}
         }
         self.conn.heads.borrow_mut().came(came);
         Poll::Ready(Ok(()))
@@ -128,8 +164,8 @@
 }
 
 impl AsyncWrite for Ear {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        let n = ready!(Pin::new(&mut self.socket).poll_write(cx, bytes))?;
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let n = ready!(Pin::new(&mut *self.socket.borrow_mut()).poll_write(cx, bytes))?;
         self.wrote();
         Poll::Ready(Ok(n))
     }
@@ -138,16 +174,16 @@
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.socket.borrow_mut()).poll_shutdown(cx)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context,
         bytes: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
-        let n = ready!(Pin::new(&mut self.socket).poll_write_vectored(cx, bytes))?;
+        let n = ready!(Pin::new(&mut *self.socket.borrow_mut()).poll_write_vectored(cx, bytes))?;
         self.wrote();
         Poll::Ready(Ok(n))
     }
@@ -159,21 +195,44 @@
 
 /// How an operation is asked for.
 struct Operation {
-    name: String,
+    op: OpId,
     idempotent: bool,
     integration_timeout: Duration,
 }
 
+/// What requests are decoded by: the settings' names and bounds.
+struct Book {
+    operations: HashMap<Arc<str>, Operation>,
+    plans: HashMap<Arc<str>, PlanId>,
+    most_units: f64,
+    gateways: u32,
+}
+
+impl Book {
+    fn new(settings: &Settings) -> Self {
+        let operation = |op: &OpId| {
+            let o = &settings.operations[op.0];
+            let (idempotent, integration_timeout) = (o.repeat == Repeat::Idempotent, o.integration_timeout);
+            (o.name.clone(), Operation { op: *op, idempotent, integration_timeout })
+        };
+        Book {
+            operations: settings.in_force.operations.iter().map(operation).collect(),
+            plans: settings.in_force.plans.iter().map(|p| (settings.plans[p.0].name.clone(), *p)).collect(),
+            most_units: if settings.most_units > 0.0 { settings.most_units } else { f64::MAX },
+            gateways: settings.gateways,
+        }
+    }
+}
+
 pub struct Clients {
     clock: Clock,
-    life: Rc<Now>,
+    now: Now,
+    figures: Figures,
     module: mpsc::Sender<ToModule>,
-    operations: Vec<Operation>,
-    plans: Vec<String>,
-    most_units: f64,
-    gateways: u32,
-    /// Connections at most.
-    most: usize,
+    book: RefCell<Rc<Book>>,
+    /// Connections at most, now and alone.
+    most: Cell<usize>,
+    all: usize,
     /// Room for the bodies that are held or on their way.
     bodies: Rooms,
     conns: RefCell<BTreeMap<u64, Rc<Conn>>>,
@@ -188,23 +247,25 @@
 }
 
 impl Clients {
-    pub fn new(config: &Config, clock: Clock, life: Rc<Now>, to: mpsc::Sender<ToModule>) -> Self {
-        let (facts, settings) = (&config.facts, &config.settings);
-        let operation = |(c, o): (&Class, &damsonbeam::interface::Operation)| Operation {
-            name: c.name.clone(),
-            idempotent: o.repeat == Repeat::Idempotent,
-            integration_timeout: o.integration_timeout,
-        };
+    pub fn new(
+        settings: &Settings,
+        most: usize,
+        bodies: usize,
+        clock: Clock,
+        now: Now,
+        figures: &Figures,
+        to: mpsc::Sender<ToModule>,
+    ) -> Self {
+        settings.operations.iter().for_each(|o| figures.name(&o.name));
         Clients {
             clock,
-            life,
+            now,
+            figures: figures.clone(),
             module: to,
-            operations: facts.request_classes.iter().zip(&settings.operations).map(operation).collect(),
-            plans: facts.plans.iter().map(|p| p.name.clone()).collect(),
-            most_units: if settings.most_units > 0.0 { settings.most_units } else { f64::MAX },
-            gateways: settings.gateways,
-            most: config.clients,
-            bodies: Rooms::new(config.bodies),
+            book: RefCell::new(Rc::new(Book::new(settings))),
+            most: Cell::new(most),
+            all: most,
+            bodies: Rooms::new(bodies),
             conns: RefCell::default(),
             next: Cell::new(0),
             proven: Cell::new(0),
@@ -214,15 +275,30 @@
         }
     }
 
+    /// New settings: requests are decoded by them from now on. The module must have them first.
+    pub fn settle(&self, settings: &Settings) {
+        settings.operations.iter().for_each(|o| self.figures.name(&o.name));
+        *self.book.borrow_mut() = Rc::new(Book::new(settings));
+    }
+
+    /// Two processes are one gateway: until the other has ended, half of the connections are its.
+    pub fn beside(&self) {
+        self.most.set(self.all / 2);
+    }
+
+    pub fn alone(&self) {
+        self.most.set(self.all);
+    }
+
     /// Takes in connections until dropped.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+    pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
         loop {
-            if self.open() >= self.most && self.evict() {
+            if self.open() >= self.most.get() && self.evict() {
                 // The one that had to go gives its descriptor back, and those just taken are heard, first.
                 tokio::task::yield_now().await;
                 tokio::task::yield_now().await;
             }
-            while self.open() >= self.most + BEYOND {
+            while self.open() >= self.most.get() + BEYOND {
                 // Those that wait are taken already: closing one would lose what it has sent.
                 log!(warn, "clients-full", "{} connections, all with invocations", self.open());
                 self.gone.notified().await;
@@ -240,34 +316,40 @@
     }
 
     fn take(self: Rc<Self>, socket: TcpStream) {
-        let full = self.open() >= self.most;
+        let full = self.open() >= self.most.get();
         socket.set_nodelay(true).ok();
         let id = self.next.replace(self.next.get() + 1);
         let conn = Rc::new(Conn {
             stand: Cell::new(Stand::New),
             since: Cell::new(self.clock.now()),
+            began: Cell::default(),
+            came: Cell::default(),
             proven: Cell::new(false),
             heads: RefCell::default(),
             close: Notify::new(),
             at_once: Cell::new(false),
+            unread: Cell::new(false),
         });
         self.conns.borrow_mut().insert(id, conn.clone());
         self.served.set(self.served.get() + 1);
+        self.figures.clients.inc();
         tokio::task::spawn_local(async move {
             self.clone().serve(socket, conn.clone(), full).await;
             self.proven.set(self.proven.get() - usize::from(conn.proven.get()));
             self.conns.borrow_mut().remove(&id);
             self.served.set(self.served.get() - 1);
+            self.figures.clients.dec();
             self.gone.notify_one();
         });
     }
 
     /// A connection, until it ends or its client's time is over.
     async fn serve(self: Rc<Self>, socket: TcpStream, conn: Rc<Conn>, full: bool) {
-        let clock = self.clock;
+        let (clock, now) = (self.clock, self.now.clone());
+        let socket = Rc::new(RefCell::new(socket));
         let invoke = Invoke { conn: conn.clone(), clients: self };
         let service = TowerToHyperService::new(Door { full, inner: invoke });
-        let ear = Ear { socket, conn: conn.clone(), clock };
+        let ear = Ear { socket: socket.clone(), conn: conn.clone(), clock };
         let serving = http1::Builder::new()
             .auto_date_header(false)
             .max_buf_size(HEAD)
@@ -282,8 +364,11 @@
             }
             if !told && close.as_mut().poll(cx).is_ready() {
                 told = true;
-                serving.as_mut().graceful_shutdown();
-                cx.waker().wake_by_ref();
+                // A request that is here already is answered first, and its answer ends the connection.
+                if !unread(&socket) || !now.stage().sends_away() {
+                    serving.as_mut().graceful_shutdown();
+                    cx.waker().wake_by_ref();
+                }
             }
             let due = conn.due();
             if due.is_some() && due != armed {
@@ -327,17 +412,23 @@
         }
     }
 
-    /// What a request says, if all of it can be used; its name stands beside it.
-    fn decode(&self, method: &Method, uri: &hyper::Uri, headers: &HeaderMap) -> Option<(Invocation, String)> {
+    /// The operation that a request names, if the settings have it.
+    fn named(&self, uri: &hyper::Uri) -> Option<Arc<str>> {
+        let name = uri.path().strip_prefix('/')?.split('/').next()?;
+        Some(self.book.borrow().operations.get_key_value(name)?.0.clone())
+    }
+
+    /// What a request says, if all of it can be used.
+    fn decode(&self, method: &Method, uri: &hyper::Uri, headers: &HeaderMap) -> Option<Decoded> {
         let plain = uri.scheme().is_none() && uri.authority().is_none();
         let operation = uri.path().strip_prefix('/').filter(|_| plain)?.split('/').next()?;
-        let op = self.operations.iter().position(|o| o.name == operation)?;
-        let asked = &self.operations[op];
+        let book = self.book.borrow().clone();
+        let asked = book.operations.get(operation)?;
         if asked.idempotent != (method == Method::GET) || matches!(*method, Method::HEAD | Method::CONNECT) {
             return None;
         }
         let plan = one(headers, "x-tariff")?;
-        let plan = self.plans.iter().position(|p| p == plan)?;
+        let plan = *book.plans.get(plan)?;
         let name = one(headers, ID.as_str())?;
         let customer = one(headers, "x-subscriber")?;
         let hex = customer.len() == 16 && customer.bytes().all(|b| b.is_ascii_hexdigit());
@@ -358,28 +449,37 @@
             }
         }
         let (units, spread, first) = (units?, spread?, first?);
-        let set = (1..=self.gateways).contains(&spread) && first < self.gateways;
+        let set = (1..=book.gateways).contains(&spread) && first < book.gateways;
         let named = (1..=NAME).contains(&name.len());
-        if !(known && set && named && units > 0.0 && units <= self.most_units && left <= WAIT) {
+        if !(known && set && named && units > 0.0 && units <= book.most_units && left <= WAIT) {
             return None;
         }
         let told = Invocation {
             inv: InvId(self.next.replace(self.next.get() + 1)),
-            // No client waits longer than its operation's time, whatever it says.
-            deadline: self.clock.now() + left.min(asked.integration_timeout),
-            op: OpId(op),
-            plan: PlanId(plan),
+            deadline: Duration::ZERO,
+            op: asked.op,
+            plan,
             customer: CustomerId(customer.to_ascii_lowercase().into()),
             units,
             first_gateway: GatewayId(first),
             spread,
             write: false,
             repeat: one(headers, "x-repeat") == Some("1"),
+            coming: false,
         };
-        Some((told, name.to_owned()))
+        // No client waits longer than its operation's time, whatever it says.
+        Some(Decoded { told, name: name.to_owned(), left: left.min(asked.integration_timeout) })
     }
 }
 
+/// A request that can be used: what the module is told, its name, and how long its client waits from its
+/// last byte on.
+struct Decoded {
+    told: Invocation,
+    name: String,
+    left: Duration,
+}
+
 /// A header that is there once: of two, another on the way may take the other.
 fn one<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     let mut all = headers.get_all(name).iter();
@@ -415,18 +515,24 @@
         let both = conn.heads.borrow().both();
         // Where the next head starts is not known after one.
         let chunked = request.headers().contains_key(TRANSFER_ENCODING);
+        let named = clients.named(request.uri());
         let inner = (!up && !full && !both).then(|| self.inner.call(request));
         Box::pin(async move {
             let mut answer = match inner {
                 Some(inner) => inner.await?,
                 // A second request may hide in its body.
                 None if both => plain(StatusCode::BAD_REQUEST),
-                None if up && clients.life.stage().serves() => plain(StatusCode::OK),
+                None if up && clients.now.stage().serves() => plain(StatusCode::OK),
                 None => plain(StatusCode::SERVICE_UNAVAILABLE),
             };
-            conn.turn(Stand::Quiet, clients.clock.now());
-            let crowded = clients.proven.get() > clients.most * KEPT.0 / KEPT.1;
-            if full || both || chunked || crowded || clients.life.stage() >= Stage::Draining {
+            let (now, sends_away) = (clients.clock.now(), clients.now.stage().sends_away());
+            let streamed = matches!(answer.body(), Given::Through(_));
+            conn.turn(if streamed { Stand::Taking } else { Stand::Quiet }, now);
+            if let Some(named) = named {
+                clients.count(&named, &mut answer, &conn);
+            }
+            let crowded = clients.proven.get() > clients.most.get() * KEPT.0 / KEPT.1;
+            if full || both || chunked || crowded || sends_away || conn.unread.get() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok(answer)
@@ -457,60 +563,111 @@
 }
 
 impl Clients {
+    /// Counts an answer, where it ends: as it is handed over, or with the last byte of one passed on as it comes.
+    fn count(self: &Rc<Self>, operation: &Arc<str>, answer: &mut Reply200, conn: &Rc<Conn>) {
+        let status = answer.status();
+        let all = match status {
+            StatusCode::OK => &self.figures.answered,
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => &self.figures.deferred,
+            _ => &self.figures.errored,
+        };
+        let Given::Through(body) = answer.body_mut() else {
+            return all.with_label_values(&[&**operation]).inc();
+        };
+        let (clients, conn, operation) = (self.clone(), conn.clone(), operation.clone());
+        clients.figures.current.inc();
+        body.count = Some(Box::new(move |end| {
+            clients.figures.current.dec();
+            let figures = &clients.figures;
+            let all = if end == End::Broken { &figures.errored } else { &figures.answered };
+            all.with_label_values(&[&*operation]).inc();
+            if conn.stand.get() == Stand::Taking {
+                conn.turn(Stand::Quiet, clients.clock.now());
+            }
+        }));
+    }
+
     /// An invocation's answer, or why the request is none.
     async fn invoke(&self, conn: &Conn, request: Request<Incoming>) -> Result<Reply200, StatusCode> {
         let (head, body) = request.into_parts();
-        let Some((told, name)) = self.decode(&head.method, &head.uri, &head.headers) else {
+        let Some(Decoded { mut told, name, left }) = self.decode(&head.method, &head.uri, &head.headers)
+        else {
             log!(warn, "invocation-malformed", "{} {}", head.method, head.uri);
             return Err(StatusCode::BAD_REQUEST);
         };
-        let body = self.body(&head.method, body, told.deadline).await?;
+        let body = self.body(conn, &head.method, body, told.inv, left).await?;
+        told.coming = body.coming().is_some();
+        // Its client's time runs from its last byte.
+        let came = self.clock.now();
+        told.deadline = came + if told.coming { UPLOAD } else { left };
         // Two of a name would share one effect, and each would get the other's answer.
         if !self.open.borrow_mut().insert(name.clone()) {
             log!(warn, "invocation-twice", "{name}");
             return Err(StatusCode::CONFLICT);
         }
+        self.figures.current.inc();
         let mut held = Held { inv: told.inv, name, clients: self, answered: false };
         self.proven.set(self.proven.get() + usize::from(!conn.proven.replace(true)));
         conn.turn(Stand::Held, Duration::ZERO);
         let mut headers = head.headers;
         end_to_end(&mut headers, &held.name);
+        let coming = body.coming().cloned();
         let ask = Rc::new(Ask { method: head.method, uri: head.uri, headers, body });
         let (answer, answered) = oneshot::channel();
-        if self.module.send(ToModule::Invocation { told, ask, answer }).await.is_err() {
+        if self.module.send(ToModule::Invocation { told, left, ask, answer }).await.is_err() {
             held.answered = true;
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
         let answer = answered.await.unwrap_or(Answer::Errored);
         held.answered = true;
+        self.figures.answer_seconds.observe(self.clock.now().saturating_sub(came).as_secs_f64());
+        if let Some(coming) = coming.filter(|c| !c.ended()) {
+            conn.unread.set(true);
+            tokio::task::spawn_local(async move { coming.drain().await });
+        }
         Ok(encode(answer))
     }
 
-    /// A request's body, whole.
-    async fn body(&self, method: &Method, body: Incoming, by: Duration) -> Result<Bytes, StatusCode> {
+    /// A request's body: whole where it is small, else its start and what still comes.
+    async fn body(
+        &self,
+        conn: &Conn,
+        method: &Method,
+        mut body: Incoming,
+        inv: InvId,
+        left: Duration,
+    ) -> Result<Load, StatusCode> {
         if body.is_end_stream() {
-            return Ok(Bytes::new());
+            return Ok(Load::Whole(bytes::Bytes::new()));
         }
         if *method == Method::GET {
             return Err(StatusCode::BAD_REQUEST);
         }
-        let bytes = body.size_hint().upper().unwrap_or(BODY as u64);
-        if bytes > BODY as u64 {
+        let length = body.size_hint().exact();
+        if length.is_some_and(|n| n > LARGE as u64) {
             return Err(StatusCode::PAYLOAD_TOO_LARGE);
         }
-        let Some(room) = self.bodies.take(bytes as usize) else {
-            log!(warn, "bodies-full", "no room for a body of {bytes} bytes");
+        let room = length.map_or(BODY, |n| BODY.min(n as usize));
+        let Some(room) = self.bodies.take(room) else {
+            log!(warn, "bodies-full", "no room for a body of {room} bytes");
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         };
-        let whole = tokio::select! {
-            whole = Limited::new(body, BODY).collect() => whole,
-            () = sleep_until(self.clock.instant(by)) => return Err(StatusCode::REQUEST_TIMEOUT),
-        };
-        match whole {
-            Ok(whole) => Ok(room.keep(whole.to_bytes())),
-            Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-            Err(_) => Err(StatusCode::BAD_REQUEST),
+        conn.turn(Stand::Giving, self.clock.now());
+        conn.began.set(self.clock.now());
+        conn.came.set(0);
+        let (first, whole) = bodies::begin(&mut body).await.map_err(|_| StatusCode::BAD_REQUEST)?;
+        let first = room.keep(first);
+        if whole {
+            return Ok(Load::Whole(first));
         }
+        let (module, clock) = (self.module.clone(), self.clock);
+        let whole = move || {
+            let told = ToModule::Whole { inv, deadline: clock.now() + left };
+            if let Err(mpsc::error::TrySendError::Full(told)) = module.try_send(told) {
+                tokio::task::spawn_local(async move { module.send(told).await.ok() });
+            }
+        };
+        Ok(Load::Coming(Coming::new(first, body, length, Box::new(whole))))
     }
 }
 
@@ -525,6 +682,7 @@
 impl Drop for Held<'_> {
     fn drop(&mut self) {
         self.clients.open.borrow_mut().remove(&self.name);
+        self.clients.figures.current.dec();
         if self.answered {
             return;
         }
@@ -537,7 +695,7 @@
 }
 
 fn plain(status: StatusCode) -> Reply200 {
-    let mut answer = Response::new(Full::default());
+    let mut answer = Response::new(Given::Whole(None));
     *answer.status_mut() = status;
     answer
 }
@@ -545,7 +703,7 @@
 fn encode(answer: Answer) -> Reply200 {
     match answer {
         Answer::Succeeded(reply) => {
-            let mut answer = Response::new(Full::new(reply.body));
+            let mut answer = Response::new(reply.body);
             *answer.headers_mut() = reply.headers;
             answer
         }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -29,6 +29,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub places: Places,
+    /// Where operators call, if anywhere.
+    pub admin: Option<SocketAddr>,
     pub peer_listen: Option<SocketAddr>,
     pub peers: Vec<SocketAddr>,
     pub peers_all: Option<SocketAddr>,
@@ -37,6 +39,8 @@
     pub seed: u64,
     pub known: Page,
     pub facts: Facts,
+    /// The file as it was read.
+    pub source: Value,
     pub settings: Settings,
     /// Client connections at most, and connections to backends at most.
     pub clients: usize,
@@ -56,6 +60,7 @@
     discovery: Option<String>,
     #[serde(default)]
     limits: Limits,
+    admin_addr: Option<String>,
     peer_listen: Option<String>,
     #[serde(default)]
     peers: Vec<String>,
@@ -83,6 +88,18 @@
         Self::parse(&text, |key| std::env::var(key).ok())
     }
 
+    /// Whether it may follow a configuration that is in force: a key that stood there and is gone is no
+    /// setting turned off, but a file that was cut or written wrongly.
+    ///
+    /// # Errors
+    /// The first key that is missing.
+    pub fn follows(&self, old: &Value) -> Result<(), String> {
+        match missing(&old["settings"], &self.source["settings"], "settings") {
+            Some(key) => Err(format!("{key}: missing, and the configuration in force has it")),
+            None => Ok(()),
+        }
+    }
+
     pub fn parse(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
         let source = text;
         let mut text = serde_json::Deserializer::from_str(text);
@@ -120,6 +137,7 @@
             name: given("name", raw.name, "NODE_NAME")?,
             listen: addr("listen", &given("listen", raw.listen, "NODE_LISTEN")?)?,
             places: Places { discovery, counter },
+            admin: some("admin_addr", &raw.admin_addr.or_else(|| env("NODE_ADMIN_ADDR")))?,
             peer_listen: some("peer_listen", &raw.peer_listen)?,
             peers: raw.peers.iter().map(|p| addr("peers", p)).collect::<Result<_, _>>()?,
             peers_all: some("peers_all", &raw.peers_all)?,
@@ -127,6 +145,7 @@
             seed: u64::from_str_radix(&seed, 16).map_err(|e| format!("seed: `{seed}` is not hex: {e}"))?,
             known: raw.known,
             facts,
+            source: serde_json::from_str(source).unwrap_or_default(),
             settings,
             clients,
             backends,
@@ -137,6 +156,29 @@
     }
 }
 
+/// The first key that `old` has and `new` lacks. A row of a list needs the keys that all the old rows have.
+fn missing(old: &Value, new: &Value, at: &str) -> Option<String> {
+    match (old, new) {
+        (Value::Object(old), Value::Object(new)) => old.iter().find_map(|(key, old)| {
+            let at = format!("{at}.{key}");
+            match new.get(key) {
+                Some(new) => missing(old, new, &at),
+                None => Some(at),
+            }
+        }),
+        (Value::Array(old), Value::Array(new)) => {
+            let rows: Vec<_> = old.iter().filter_map(Value::as_object).collect();
+            let keys: Vec<_> =
+                rows.first()?.keys().filter(|k| rows.iter().all(|r| r.contains_key(*k))).collect();
+            new.iter().enumerate().find_map(|(n, row)| {
+                let lacks = keys.iter().find(|k| row.get(**k).is_none())?;
+                Some(format!("{at}[{n}].{lacks}"))
+            })
+        }
+        _ => None,
+    }
+}
+
 /// Decodes, and says at which key it failed.
 fn named<'a, T: Deserialize<'a>>(from: impl Deserializer<'a>) -> Result<T, String> {
     serde_path_to_error::deserialize(from).map_err(|e| format!("{}: {}", e.path(), e.inner()))
@@ -154,6 +196,17 @@
     if let Some((key, _)) = spans.iter().find(|(_, span)| *span == 0) {
         return Err(format!("settings.{key}: missing or 0"));
     }
+    if facts.ceilings.try_limit == 0 {
+        return Err("settings.ceilings.try-limit: missing or 0".into());
+    }
+    for (at, names) in [
+        ("request-classes", facts.request_classes.iter().map(|c| &c.name).collect::<Vec<_>>()),
+        ("plans", facts.plans.iter().map(|p| &p.name).collect()),
+    ] {
+        if let Some((i, name)) = names.iter().enumerate().find(|(i, n)| names[..*i].contains(n)) {
+            return Err(format!("settings.{at}[{i}].name: `{name}` stands there twice"));
+        }
+    }
     if facts.self_index >= facts.siblings {
         return Err(format!("settings.self-index: {} of {} siblings", facts.self_index, facts.siblings));
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,10 +5,12 @@
 //! it alone wires the actors.
 
 pub mod backends;
+pub mod bodies;
 pub mod clients;
 pub mod clock;
 pub mod config;
 pub mod counter;
+pub mod handover;
 pub mod heads;
 pub mod life;
 pub mod list;
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -1,7 +1,9 @@
 //! The list of backends: discovery's messages, and the actor that keeps a watch on it.
 
+use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,7 +13,7 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
@@ -29,14 +31,14 @@
 const AGAIN: Duration = Duration::from_millis(100);
 const BYTES: usize = 4 << 20;
 
-#[derive(Deserialize, Default, Clone)]
+#[derive(Deserialize, Serialize, Default, Clone)]
 pub struct Page {
     pub revision: u64,
     pub complete: bool,
     pub members: Vec<Member>,
 }
 
-#[derive(Deserialize, Clone)]
+#[derive(Deserialize, Serialize, Clone)]
 pub struct Member {
     pub id: String,
     pub host_port: SocketAddr,
@@ -57,6 +59,18 @@
     1.0
 }
 
+impl Page {
+    /// The whole list after a page of news.
+    pub fn join(&mut self, news: &Page) {
+        self.revision = news.revision;
+        if news.complete {
+            self.members.clear();
+        }
+        self.members.retain(|m| news.members.iter().all(|n| n.id != m.id));
+        self.members.extend(news.members.iter().filter(|m| m.phase != "left").cloned());
+    }
+}
+
 /// Numbers for the names that discovery uses.
 pub struct Numbers {
     zones: Vec<String>,
@@ -129,6 +143,8 @@
     pub at: SocketAddr,
     pub numbers: Numbers,
     pub mode: Discovery,
+    /// The whole list as it stands, for a process that follows this one.
+    pub shelf: Rc<RefCell<Page>>,
     pub module: mpsc::Sender<ToModule>,
     pub mailbox: mpsc::Receiver<ToList>,
     /// Told once the module has a list of this life.
@@ -188,6 +204,7 @@
                     // Only what says that it is complete is: backends absent from it are gone.
                     let form = if page.complete { ListForm::Replace } else { ListForm::Update };
                     if page.complete || !page.members.is_empty() {
+                        self.shelf.borrow_mut().join(&page);
                         let listed = self.numbers.listed(page, form);
                         if self.module.send(ToModule::Listed(listed)).await.is_err() {
                             return;
--- a/crates/gateway/src/mail.rs
+++ b/crates/gateway/src/mail.rs
@@ -6,7 +6,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use damsonbeam::interface::*;
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
@@ -14,14 +13,46 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::bodies::{Given, Load};
+
 /// To the module.
 pub enum ToModule {
     Listed(Listed),
-    Invocation { told: Invocation, ask: Rc<Ask>, answer: oneshot::Sender<Answer> },
-    Left { inv: InvId },
+    /// `left`: how long its client waits from its last byte on.
+    Invocation {
+        told: Invocation,
+        left: Duration,
+        ask: Rc<Ask>,
+        answer: oneshot::Sender<Answer>,
+    },
+    /// The last byte of a body that was still coming is here; its client waits until then.
+    Whole {
+        inv: InvId,
+        deadline: Duration,
+    },
+    /// Part of its body is gone for good: no other delivery can carry it.
+    Spent {
+        inv: InvId,
+    },
+    Settings(Box<Settings>),
+    /// Another process takes this one's place; what it needs goes back.
+    Yield(oneshot::Sender<Box<Carry>>),
+    Resume,
+    Carried(Box<Carry>),
+    Left {
+        inv: InvId,
+    },
     Done(Done),
-    Total { name: String, outcome: Outcome, total: f64, latency: Duration },
-    Peer { from: GatewayId, bytes: Vec<u8> },
+    Total {
+        name: String,
+        outcome: Outcome,
+        total: f64,
+        latency: Duration,
+    },
+    Peer {
+        from: GatewayId,
+        bytes: Vec<u8>,
+    },
 }
 
 /// The one final answer of an invocation.
@@ -36,13 +67,13 @@
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: Load,
 }
 
 /// A backend's answer that goes to the client.
 pub struct Reply {
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: Given,
 }
 
 /// To a backend.
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -7,6 +7,7 @@
 
 use damsonbeam::Rules;
 use damsonbeam::interface::*;
+use damsonbeam_admin::Figures;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep_until;
 
@@ -18,11 +19,15 @@
 
 /// Events taken from the mailbox at a time.
 const BATCH: usize = 64;
+/// The figures that are looked up, not counted, are this old at most.
+const FIGURES: Duration = Duration::from_millis(200);
 
 /// An invocation that is not over, or that has deliveries out.
 struct Held {
     ask: Rc<Ask>,
     deadline: Duration,
+    /// While its body comes: how long its client waits from then on.
+    coming: Option<Duration>,
     answer: Option<oneshot::Sender<Answer>>,
     deliveries: Vec<Option<Out>>,
 }
@@ -41,6 +46,8 @@
     Delivery(InvId, DeliveryNo),
     /// The witness's report to the peers.
     Report,
+    /// The figures that only the rules know.
+    Figures,
 }
 
 pub struct Module {
@@ -55,6 +62,11 @@
     /// Where `witness` is set: the other gateways' adds, and the peers (by number) to report to.
     pub witness: Option<(Witness, Vec<GatewayId>)>,
     pub state: State,
+    pub figures: Figures,
+    /// Whether somebody may ask for the figures.
+    pub shown: bool,
+    /// Who waits for what the rules hand over.
+    pub carry: Option<oneshot::Sender<Box<Carry>>>,
 }
 
 #[derive(Default)]
@@ -71,6 +83,9 @@
         if self.witness.is_some() {
             self.state.due.insert((self.clock.now() + witness::EVERY, Due::Report));
         }
+        if self.shown {
+            self.state.due.insert((self.clock.now(), Due::Figures));
+        }
         let wake = sleep_until(self.clock.instant(Duration::ZERO));
         tokio::pin!(wake);
         let mut armed: Option<Duration> = None;
@@ -107,6 +122,12 @@
                     }
                 }
                 Due::Report => self.report(now),
+                Due::Figures => {
+                    let (listed, avoided) = self.rules.backends();
+                    self.figures.cluster_size.set(listed as i64);
+                    self.figures.cluster_unhealthy.set(avoided as i64);
+                    self.state.due.insert((now + FIGURES, Due::Figures));
+                }
             }
         }
     }
@@ -124,12 +145,25 @@
 
     fn mail(&mut self, mail: ToModule) {
         match mail {
-            ToModule::Invocation { told, ask, answer } => {
-                let held =
-                    Held { ask, deadline: told.deadline, answer: Some(answer), deliveries: Vec::new() };
+            ToModule::Invocation { told, left, ask, answer } => {
+                let (deadline, coming) = (told.deadline, told.coming.then_some(left));
+                let held = Held { ask, deadline, coming, answer: Some(answer), deliveries: Vec::new() };
                 self.state.held.insert(told.inv, held);
                 self.feed(Event::Invocation(told));
             }
+            ToModule::Whole { inv, deadline } => self.whole(inv, deadline),
+            ToModule::Spent { inv } => {
+                if self.state.held.contains_key(&inv) {
+                    self.feed(Event::Spent { inv });
+                }
+            }
+            ToModule::Settings(settings) => self.feed(Event::Settings(settings)),
+            ToModule::Yield(to) => {
+                self.carry = Some(to);
+                self.feed(Event::Yield);
+            }
+            ToModule::Resume => self.feed(Event::Resume),
+            ToModule::Carried(carry) => self.feed(Event::Carried(carry)),
             ToModule::Left { inv } => {
                 if self.state.held.get_mut(&inv).and_then(|h| h.answer.take()).is_some() {
                     self.feed(Event::Left { inv });
@@ -145,6 +179,7 @@
                 self.tell(inv, no, &out, outcome, report);
             }
             ToModule::Total { name, outcome, mut total, latency } => {
+                self.figures.counter_calls.with_label_values(&[self::name(outcome)]).inc();
                 if let Some((witness, _)) = self.witness.as_ref().filter(|_| outcome == Outcome::Ok) {
                     total = witness.total(&name, total, self.clock.now());
                 }
@@ -179,6 +214,21 @@
         self.feed(Event::Targets { form, entries });
     }
 
+    /// A body's last byte has come: its deliveries' times run from now.
+    fn whole(&mut self, inv: InvId, deadline: Duration) {
+        let now = self.clock.now();
+        let Some(held) = self.state.held.get_mut(&inv) else { return };
+        (held.deadline, held.coming) = (deadline, None);
+        for (no, out) in held.deliveries.iter_mut().enumerate().filter_map(|(no, o)| Some((no, o.as_mut()?)))
+        {
+            let no = DeliveryNo(no as u32);
+            self.state.due.remove(&(out.until, Due::Delivery(inv, no)));
+            (out.sent, out.until) = (now, deadline);
+            self.state.due.insert((out.until, Due::Delivery(inv, no)));
+        }
+        self.feed(Event::Whole { inv, deadline });
+    }
+
     /// Takes a delivery off those out.
     fn end(&mut self, inv: InvId, no: DeliveryNo) -> Option<Out> {
         let out = self.state.held.get_mut(&inv)?.deliveries.get_mut(no.0 as usize)?.take()?;
@@ -189,6 +239,7 @@
 
     /// How a delivery ended; the invocation is closed if its final answer has gone out.
     fn ended(&self, inv: InvId, no: DeliveryNo, out: &Out, outcome: Outcome, report: Report) -> Event {
+        self.figures.deliveries.with_label_values(&[name(outcome)]).inc();
         let closed = self.state.held.get(&inv).is_none_or(|h| h.answer.is_none());
         let latency = self.clock.now().saturating_sub(out.sent);
         let (tgt, used, true_units) = (out.tgt, None, None);
@@ -243,6 +294,9 @@
                 }
             }
             Action::Throttle { inv, retry_after } => {
+                let sent = self.state.held.get(&inv).is_some_and(|h| !h.deliveries.is_empty());
+                let when = if sent { "after_delivery" } else { "before_delivery" };
+                self.figures.turned_away.with_label_values(&[when]).inc();
                 self.answer(inv, Answer::Throttled(retry_after));
                 self.tidy(inv);
             }
@@ -291,6 +345,9 @@
                 self.list.try_send(ToList::Fetch).ok();
             }
             Action::Log { text } => log!(warn, "module", "{text}"),
+            Action::HandOver(carry) => {
+                self.carry.take().map(|to| to.send(carry).ok());
+            }
         }
     }
 
@@ -306,7 +363,9 @@
             held.deliveries.push(None);
             return self.tell_next(inv, no, &out, Outcome::Ignored);
         }
-        let job = Job { inv, no, ask: held.ask.clone(), wait, line };
+        // While its body comes no client's time runs; the backend is told what will.
+        let told = held.coming.unwrap_or(wait);
+        let job = Job { inv, no, ask: held.ask.clone(), wait: told, line };
         let sent = self.state.backends.get(&tgt);
         if sent.is_some_and(|b| b.mailbox.try_send(ToBackend::Deliver(job)).is_ok()) {
             held.deliveries.push(Some(out));
@@ -318,3 +377,17 @@
         }
     }
 }
+
+/// An outcome as the figures name it.
+fn name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Ok => "ok",
+        Outcome::Failed => "failed",
+        Outcome::Full => "full",
+        Outcome::TimedOut => "timed_out",
+        Outcome::ConnectFailed => "connect_failed",
+        Outcome::Reset => "reset",
+        Outcome::Canceled => "canceled",
+        Outcome::Ignored => "ignored",
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use damsonbeam::interface::GatewayId;
+use socket2::{Domain, Socket, Type};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
@@ -19,6 +20,15 @@
 }
 
 impl Peers {
+    /// Two processes of one gateway may listen at a time, while the one follows the other.
+    pub fn bind(at: SocketAddr) -> std::io::Result<UdpSocket> {
+        let socket = Socket::new(Domain::for_address(at), Type::DGRAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&at.into())?;
+        UdpSocket::from_std(socket.into())
+    }
+
     pub async fn run(mut self) {
         let mut bytes = [0; DATAGRAM + 1];
         loop {
--- a/crates/gateway/src/sizes.rs
+++ b/crates/gateway/src/sizes.rs
@@ -1,9 +1,9 @@
 //! Sizes that more than one part of the gateway reckons with, in bytes.
 
-/// A request's body at most.
+/// A body that is held whole, at most; a larger one goes through as it comes.
 pub const BODY: usize = 64 << 10;
-/// An answer's body at most: the platform promises no more than of a request's, and sends more.
-pub const ANSWER: usize = 1 << 20;
+/// A body at most, a request's or an answer's.
+pub const LARGE: usize = 32 << 20;
 /// A head at most, a client's or a backend's.
 pub const HEAD: usize = 16 << 10;
 /// A client's or a backend's connection with its buffers, at most, besides a body.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -122,6 +122,7 @@
             _ => Repeat::NonIdempotent,
         };
         Operation {
+            name: c.name.as_str().into(),
             repeat,
             latency_objective: ns(c.slo_ns),
             integration_timeout: ns(c.deadline_ns),
@@ -131,6 +132,7 @@
         }
     };
     let plan = |p: &PlanFacts| Plan {
+        name: p.name.as_str().into(),
         rate: p.quota_rate,
         burst: p.store_size,
         max_out: p.max_out,
@@ -152,6 +154,10 @@
         tick: ns(f.tick_ns),
         operations: f.request_classes.iter().map(operation).collect(),
         plans: f.plans.iter().map(plan).collect(),
+        in_force: InForce {
+            operations: (0..f.request_classes.len()).map(OpId).collect(),
+            plans: (0..f.plans.len()).map(PlanId).collect(),
+        },
         limits: Limits {
             cancel: limits.cancel,
             parallel: limits.parallel_tries,
--- a/src/hist.rs
+++ b/src/hist.rs
@@ -1,17 +1,17 @@
 //! A histogram of answer times that fades: the module's measure of how long answers take.
 //!
-//! It holds no decision. Bins are half an octave wide from 4 ms up, the last takes the rest, and the
-//! whole is halved once it holds more samples than the caller's `most`, so that it follows the recent
-//! answers of a backend or of the fleet. `hdrhistogram` keeps exact counts and has no fading, which is
-//! why this one is kept here.
+//! It holds no decision. Bins are half an octave wide, their figures the module's; the whole is
+//! halved once it holds more samples than the caller's `most`, so that it follows the recent answers of a
+//! backend or of the fleet. `hdrhistogram` keeps exact counts and has no fading, which is why this one is
+//! kept here.
 
 use std::time::Duration;
 
-/// Lowest bin in seconds; each next bin is half an octave up, the last takes the rest.
-const BIN_FIRST: f64 = 0.004;
-const BINS: usize = 24;
+use serde::{Deserialize, Serialize};
 
-#[derive(Default)]
+use crate::rules::{BIN_FIRST, BINS};
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Hist([f64; BINS]);
 
 impl Hist {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use crate::succession::Carry;
+
 /// An invocation, as named by the front end; never used twice.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct InvId(pub u64);
@@ -28,7 +30,7 @@
 pub struct GatewayId(pub u32);
 
 /// Whether an operation may take effect again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Repeat {
     Idempotent,
     /// Repeats are dropped within `group`, for `window` from the first send that may have run.
@@ -36,6 +38,8 @@
         group: Group,
         window: Duration,
     },
+    /// What is not known to be repeatable is not repeated.
+    #[default]
     NonIdempotent,
 }
 
@@ -47,8 +51,10 @@
     Cell,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Operation {
+    /// By which new settings know it again.
+    pub name: Arc<str>,
     pub repeat: Repeat,
     /// An answer within this time earns its full billed value.
     pub latency_objective: Duration,
@@ -63,6 +69,7 @@
 /// A plan's quotas for each customer, over all gateways together. 0 = no such limit.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Plan {
+    pub name: Arc<str>,
     pub rate: f64,
     pub burst: f64,
     pub max_out: f64,
@@ -74,7 +81,7 @@
     pub ceiling_slack: f64,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Limits {
     pub cancel: bool,
     pub parallel: bool,
@@ -94,20 +101,30 @@
 }
 
 /// How the list of backends reaches a gateway.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Discovery {
+    #[default]
     Pushed,
     Subscribed,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+/// Rows of the operations and plans that are in force, in their settings' order.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct InForce {
+    pub operations: Vec<OpId>,
+    pub plans: Vec<PlanId>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     pub gateways: u32,
     pub me: GatewayId,
     pub zone: u32,
     pub tick: Duration,
+    /// Those of earlier settings too, so that what is under way keeps its own ([`Settings::follow`]).
     pub operations: Vec<Operation>,
     pub plans: Vec<Plan>,
+    pub in_force: InForce,
     pub limits: Limits,
     pub counter: Option<Counter>,
     /// Units of an invocation are a guess; the true ones come with the answer.
@@ -192,6 +209,8 @@
     pub spread: u32,
     pub write: bool,
     pub repeat: bool,
+    /// Its body still comes: no client's time runs until [`Event::Whole`].
+    pub coming: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -223,6 +242,23 @@
     Left {
         inv: InvId,
     },
+    /// The last byte of an invocation whose body was coming is here: times run from now on.
+    Whole {
+        inv: InvId,
+        deadline: Duration,
+    },
+    /// Part of its body is gone for good: no other delivery can carry it.
+    Spent {
+        inv: InvId,
+    },
+    /// New settings, made by [`Settings::follow`] from those before.
+    Settings(Box<Settings>),
+    /// Another process takes this gateway's place: [`Action::HandOver`] follows.
+    Yield,
+    /// That process is gone again.
+    Resume,
+    /// The state of the process whose place this one takes; before the first invocation.
+    Carried(Box<Carry>),
     Timer {
         token: String,
     },
@@ -258,4 +294,5 @@
     Watch { on: bool },
     Fetch,
     Log { text: String },
+    HandOver(Box<Carry>),
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,5 +7,7 @@
 mod hist;
 pub mod interface;
 pub mod rules;
+mod state;
+mod succession;
 
 pub use rules::Rules;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -21,6 +21,8 @@
 
 use crate::hist::Hist;
 use crate::interface::*;
+use crate::state::*;
+use crate::succession::{CarriedTgt, by_name, put_by_name};
 
 /// Gateways of a customer up to which its window is two slots, else one: reads would outnumber adds.
 const CUT_SPREAD: u32 = 4;
@@ -98,6 +100,9 @@
 /// Samples at which a histogram is halved: a backend's follows its last dozen answers, the fleet's hundreds.
 const TGT_SAMPLES: f64 = 16.0;
 const FLEET_SAMPLES: f64 = 400.0;
+/// Answer times' lowest bin in seconds, and bins: each is half an octave up, the last takes the rest.
+pub(crate) const BIN_FIRST: f64 = 0.004;
+pub(crate) const BINS: usize = 24;
 /// An overdue delivery moves its operation's part unanswered this far to all; it halves in this, for nothing
 /// else tells of a backend that is passed over.
 const SILENT_STEP: f64 = 0.5;
@@ -107,126 +112,6 @@
 /// Sums of fractions are equal within this many units.
 const EPS: f64 = 1e-3;
 
-/// One slot of a customer's window, as far as known here.
-#[derive(Default)]
-struct Slot {
-    /// Units admitted here, and those whose add is not answered yet.
-    own: f64,
-    asking: f64,
-    /// Units asked for here, refused ones too: they show a surge that what is admitted does not.
-    came: f64,
-    /// Own units that the counter is believed to hold.
-    put: f64,
-    /// Units of the other gateways, by the last answer, and when that came.
-    others: f64,
-    told: Duration,
-    last: bool,
-    reading: bool,
-}
-
-impl Slot {
-    /// The part of this slot, of the `run` that has passed of it, in which the others' units are told.
-    fn part(&self, k: u64, len: f64, run: f64) -> f64 {
-        if self.last { run } else { (self.told.as_secs_f64() / len - k as f64).clamp(0.0, run) }
-    }
-}
-
-#[derive(Default)]
-struct Customer {
-    plan: PlanId,
-    spread: f64,
-    /// Slots that its window is cut into, and their length in seconds.
-    cut: u64,
-    len: f64,
-    /// Part of a ceiling that is this gateway's.
-    part: f64,
-    slots: BTreeMap<u64, Slot>,
-    /// Units over the refill at the start of the oldest slot kept (an upper bound).
-    debt: f64,
-    oldest: u64,
-    learned: u64,
-    /// Units seen of late, and the slots they were seen in: a told one whole, else this gateway's share.
-    units: f64,
-    span: f64,
-    own_seen: f64,
-    all_seen: f64,
-    /// Invocations whose add is answered and that wait for reads.
-    waiting: BTreeSet<InvId>,
-    held: u32,
-    out: u32,
-    ceiling: f64,
-    ceiling_at: Duration,
-    used_at: Duration,
-}
-
-struct Delivery {
-    tgt: TgtId,
-    zone: u32,
-    cell: u32,
-    sent: Duration,
-    out: bool,
-    /// Known not to have run.
-    idle: bool,
-}
-
-#[derive(Default)]
-struct Inv {
-    told: Invocation,
-    arrived: Duration,
-    slot: u64,
-    /// Units that it draws from its customer's quota.
-    draws: f64,
-    /// Its units are in the slot's `asking`, then in `own` once admitted.
-    added: bool,
-    admitted: bool,
-    started: bool,
-    deliveries: Vec<Delivery>,
-}
-
-impl std::ops::Deref for Inv {
-    type Target = Invocation;
-    fn deref(&self) -> &Invocation {
-        &self.told
-    }
-}
-
-#[derive(Default)]
-struct Tgt {
-    entry: Entry,
-    out: u32,
-    lat: Hist,
-    blocked: Duration,
-    fails: u32,
-    /// Part of each plan's deliveries that it turned away of late.
-    full: BTreeMap<PlanId, f64>,
-    /// Part of each operation's deliveries that went unanswered of late, and when that was reckoned.
-    silent: BTreeMap<OpId, (f64, Duration)>,
-    /// Units that this gateway may send while it is cold, earned up to `credit_at`; a delivery needs 0.
-    credit: f64,
-    credit_at: Duration,
-}
-
-struct Call {
-    customer: CustomerId,
-    slot: u64,
-    add: f64,
-    /// All that this gateway has put there, with this call.
-    upto: f64,
-    asks: Option<InvId>,
-    read: bool,
-    at: Duration,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
-    Final(InvId),
-    Objective(InvId, Duration),
-    Copy(InvId),
-    Overdue(InvId, usize),
-    Look,
-    Watch,
-}
-
 pub struct Rules {
     set: Settings,
     rng: ChaCha8Rng,
@@ -255,6 +140,8 @@
     usual: Vec<[(f64, f64); 2]>,
     copies: f64,
     flow: (Duration, f64, f64),
+    /// Another process has taken this gateway's place.
+    yielded: bool,
 }
 
 impl Rules {
@@ -282,6 +169,7 @@
             usual: vec![[(USUAL_FIRST, 1.0); 2]; set.plans.len()],
             copies: 0.0,
             flow: (now, 0.0, 0.0),
+            yielded: false,
             set,
         }
     }
@@ -307,6 +195,14 @@
             // A front end may round a wait down: a timer that comes early must not leave all others unarmed.
             Event::Timer { .. } => self.armed = self.armed.filter(|a| *a > now + self.set.tick),
             Event::Peer { bytes, .. } => self.heard(&bytes),
+            Event::Whole { inv, deadline } => self.whole(inv, deadline),
+            Event::Spent { inv } => {
+                self.invs.entry(inv).and_modify(|i| i.tries = i.deliveries.len() as u32);
+            }
+            Event::Settings(new) => self.follow(*new),
+            Event::Yield => self.hand_over(),
+            Event::Resume => self.yielded = false,
+            Event::Carried(carry) => self.take_over(*carry),
             Event::Probed { .. } => {}
         }
         self.pump();
@@ -355,27 +251,21 @@
     }
 
     fn arrived(&mut self, told: Invocation) {
-        let mut inv = Inv { told, arrived: self.now, ..Inv::default() };
+        let tries = self.set.limits.tries;
+        let mut inv = Inv { told, arrived: self.now, from: self.now, tries, ..Inv::default() };
         let (id, spread) = (inv.inv, inv.told.spread);
         let n = self.set.gateways.max(1);
         let spread = if spread == 0 { n } else { spread.min(n) };
         let inside = (self.set.me.0 + n - inv.first_gateway.0 % n) % n < spread;
-        let margin = self.set.tick.max(Duration::from_millis(1)); // A batch later is too late.
-        self.due.insert((inv.deadline.saturating_sub(margin), Due::Final(id)));
+        self.due.insert((self.last(&inv), Due::Final(id)));
         let metered = self.metered(inv.plan);
         let (customer, units, plan, again) = (inv.customer.clone(), inv.units, inv.plan, inv.repeat);
         if let Some(p) = self.set.plans.get(plan.0) {
-            let burst = self.burst(plan);
-            // The same at all gateways of the customer, or they would count under different names.
-            let cut = if spread > CUT_SPREAD { 1 } else { 2 };
-            let (open, ops) = (self.open(plan), self.set.operations.iter());
-            let longest = ops.map(|o| o.integration_timeout).max().unwrap_or_default().as_secs_f64();
-            let (cut, window) = if open { (1, longest) } else { (cut, p.burst / p.rate.max(EPS)) };
-            inv.draws = if open { 1.0 } else { units };
+            let (burst, (cut, len)) = (self.burst(plan), self.cut(plan, spread));
+            inv.draws = if self.open(plan) { 1.0 } else { units };
             self.units += (units - self.units) / USUAL_OVER;
-            let len = (window / cut as f64).clamp(self.set.tick.as_secs_f64().max(1e-3), SLOT_MOST);
             let slot = (self.now.as_secs_f64() / len) as u64;
-            let part = if inside { 1.0 / f64::from(spread) } else { 0.0 };
+            let part = if inside && !self.yielded { 1.0 / f64::from(spread) } else { 0.0 };
             let lived = (self.now - self.began).as_secs_f64();
             let c = self.customers.entry(customer.clone()).or_insert_with(|| Customer {
                 plan,
@@ -426,6 +316,16 @@
         self.call(customer, self.invs[&id].slot, add, Some(id), false);
     }
 
+    /// Slots that a customer's window is cut into and their length in seconds: the same at all gateways of
+    /// the customer, or they would count under different names.
+    fn cut(&self, plan: PlanId, spread: u32) -> (u64, f64) {
+        let (p, cut) = (&self.set.plans[plan.0], if spread > CUT_SPREAD { 1 } else { 2 });
+        let ops = self.set.in_force.operations.iter().map(|o| self.set.operations[o.0].integration_timeout);
+        let longest = ops.max().unwrap_or_default().as_secs_f64();
+        let (cut, window) = if self.open(plan) { (1, longest) } else { (cut, p.burst / p.rate.max(EPS)) };
+        (cut, (window / cut as f64).clamp(self.set.tick.as_secs_f64().max(1e-3), SLOT_MOST))
+    }
+
     /// What an invocation earns, beside the mean of those that came of late.
     fn stake(&mut self, id: InvId) -> f64 {
         let inv = &self.invs[&id];
@@ -662,8 +562,95 @@
         }
     }
 
+    // ---- Other settings, another process.
+
+    /// New settings: learned times go by name; what is under way keeps its operation, and the fewer tries.
+    fn follow(&mut self, new: Settings) {
+        for o in &new.operations[self.lat.len()..] {
+            let known = (0..self.lat.len()).rfind(|n| new.operations[*n].name == o.name);
+            self.lat.push(known.map_or_else(Hist::default, |n| self.lat[n].clone()));
+        }
+        self.usual.resize(new.plans.len(), [(USUAL_FIRST, 1.0); 2]);
+        self.set = new;
+        self.invs.values_mut().for_each(|i| i.tries = i.tries.min(self.set.limits.tries));
+        let all: Vec<CustomerId> = self.customers.keys().cloned().collect();
+        all.iter().for_each(|id| self.recut(id));
+    }
+
+    /// Counts move to the slots of another quota; what is this gateway's own rides on its next add there.
+    fn recut(&mut self, id: &CustomerId) {
+        let c = &self.customers[id];
+        let (cut, len) = self.cut(c.plan, c.spread as u32);
+        let Some(c) = self.customers.get_mut(id).filter(|c| (cut, len) != (c.cut, c.len)) else { return };
+        let (was, slot) = (c.len, (self.now.as_secs_f64() / len) as u64);
+        (c.cut, c.len, c.oldest, c.learned) = (cut, len, slot.saturating_sub(2 * cut), slot);
+        let (oldest, old) = (c.oldest, std::mem::take(&mut c.slots));
+        let at = |k: u64| (((k as f64 + 0.5) * was / len) as u64).clamp(oldest, slot);
+        old.iter().for_each(|(k, s)| c.slots.entry(at(*k)).or_default().join(s));
+        c.span *= was / len;
+        self.invs.values_mut().filter(|i| i.customer == *id).for_each(|i| i.slot = at(i.slot));
+        // Answers still out are about names that nobody reads any more.
+        self.calls.values_mut().flatten().filter(|c| c.customer == *id).for_each(|c| c.slot = 0);
+    }
+
+    /// The process that takes this one's place gets what is known here and this gateway's parts of what all
+    /// share: one gateway has one part. Nothing goes to cold backends, or under a ceiling, from here any more.
+    fn hand_over(&mut self) {
+        let (began, ask, places, stay) = (self.began, self.ask, self.places, self.stay);
+        let lat = by_name(self.set.operations.iter().map(|o| &o.name), &self.lat);
+        let usual = by_name(self.set.plans.iter().map(|p| &p.name), &self.usual);
+        let tgts = self.tgts.iter().map(CarriedTgt::of).collect();
+        let mut customers = Vec::new();
+        for (id, c) in &mut self.customers {
+            customers.push((id.0.to_string(), self.set.plans[c.plan.0].name.to_string(), c.clone()));
+            (c.ceiling, c.ceiling_at, c.part) = (0.0, self.now, 0.0);
+        }
+        let carry = Carry { began, ask, places, stay, lat, usual, customers, tgts };
+        self.yielded = true;
+        self.out.push(Action::HandOver(Box::new(carry)));
+    }
+
+    /// The other end: its process counts on for a while as another gateway would.
+    fn take_over(&mut self, carry: Carry) {
+        (self.began, self.ask, self.places, self.stay) = (carry.began, carry.ask, carry.places, carry.stay);
+        put_by_name(self.set.operations.iter().map(|o| &o.name), carry.lat, &mut self.lat);
+        put_by_name(self.set.plans.iter().map(|p| &p.name), carry.usual, &mut self.usual);
+        for (id, plan, mut c) in carry.customers {
+            let Some(row) = self.set.plans.iter().position(|p| *p.name == *plan) else { continue };
+            c.plan = PlanId(row);
+            c.slots.values_mut().for_each(Slot::elsewhere);
+            let id = CustomerId(id.into());
+            self.customers.insert(id.clone(), c);
+            self.recut(&id);
+        }
+        for t in carry.tgts {
+            let known = self.tgts.entry(TgtId(t.tgt)).or_default();
+            // A list that came first has the last word on which process it is.
+            if known.credit_at.is_zero() || known.entry.since == t.since {
+                (known.credit, known.credit_at, known.lat) = (t.credit, t.credit_at, t.lat);
+                known.entry.since = t.since;
+            }
+        }
+    }
+
+    /// The last byte of its body is here: its client's time, and its deliveries', run from now on.
+    fn whole(&mut self, id: InvId, deadline: Duration) {
+        let Some(inv) = self.invs.get_mut(&id).filter(|i| i.coming) else { return };
+        (inv.told.coming, inv.told.deadline, inv.from) = (false, deadline, self.now);
+        let inv = &self.invs[&id];
+        let overdue = self.now + self.set.operations[inv.op.0].latency_objective;
+        let out = inv.deliveries.iter().enumerate().filter(|(_, d)| d.out);
+        self.due.extend(out.map(|(no, _)| (overdue, Due::Overdue(id, no))));
+        self.due.insert((self.last(inv), Due::Final(id)));
+    }
+
     // ---- Final answers.
 
+    /// When an invocation's final answer goes out at the latest: a batch later is too late.
+    fn last(&self, inv: &Inv) -> Duration {
+        inv.deadline.saturating_sub(self.set.tick.max(Duration::from_millis(1)))
+    }
+
     fn throttle(&mut self, id: InvId) {
         let inv = &self.invs[&id];
         if !self.may_throttle(inv) {
@@ -701,7 +688,8 @@
     /// gateway among many meets a backend too seldom to find out alone: it tells the others what they lack.
     fn silent(&mut self, tgt: TgtId, op: OpId) {
         let known = self.tgts.get(&tgt).map_or(1.0, |t| t.unanswered(op, self.now));
-        let bytes = [&tgt.0.to_be_bytes()[..], &(op.0 as u16).to_be_bytes()].concat();
+        let Some(place) = self.set.place(op) else { return };
+        let bytes = [&tgt.0.to_be_bytes()[..], &place.to_be_bytes()].concat();
         self.heard(&bytes);
         if self.set.limits.tell && known < SILENT_STEP {
             self.out.push(Action::Tell { to: None, bytes });
@@ -710,9 +698,9 @@
 
     fn heard(&mut self, bytes: &[u8]) {
         let &[a, b, c, d, e, f] = bytes else { return };
-        let op = OpId(usize::from(u16::from_be_bytes([e, f])));
+        let op = self.set.in_force.operations.get(usize::from(u16::from_be_bytes([e, f]))).copied();
         let t = self.tgts.get_mut(&TgtId(u32::from_be_bytes([a, b, c, d])));
-        if let Some(t) = t.filter(|_| op.0 < self.set.operations.len()) {
+        if let (Some(t), Some(op)) = (t, op) {
             let known = t.unanswered(op, self.now);
             t.silent.insert(op, (known + SILENT_STEP * (1.0 - known), self.now));
         }
@@ -730,7 +718,7 @@
     fn may_deliver(&self, inv: &Inv, tgt: &Tgt) -> bool {
         let out = inv.deliveries.iter().any(|d| d.out);
         let over = inv.started || self.now >= inv.deadline;
-        let most = inv.deliveries.len() as u32 >= self.set.limits.tries || (out && !self.set.limits.parallel);
+        let most = inv.deliveries.len() as u32 >= inv.tries || (out && !self.set.limits.parallel);
         if tgt.entry.health != Health::Up || over || most {
             return false;
         }
@@ -761,7 +749,7 @@
     }
 
     fn objective(&self, inv: &Inv) -> Duration {
-        (inv.arrived + self.set.operations[inv.op.0].latency_objective).min(inv.deadline)
+        (inv.from + self.set.operations[inv.op.0].latency_objective).min(inv.deadline)
     }
 
     /// What stands in line before it would use up too much of its time.
@@ -831,7 +819,9 @@
             // What is likely to stay unanswered is lost for good where it can't be sent again.
             let silent = ((tgt.unanswered(inv.op, self.now) - usually) / (1.0 - usually)).max(0.0);
             let sure = warm * (1.0 - silent);
-            if warm < 1.0 && self.credit(tgt, warm) < 0.0 || sure < 1.0 && self.rng.random::<f64>() >= sure {
+            if warm < 1.0 && (self.yielded || self.credit(tgt, warm) < 0.0)
+                || sure < 1.0 && self.rng.random::<f64>() >= sure
+            {
                 continue;
             }
             let lat = tgt.lat.mean(usual, USUAL_WEIGHT);
@@ -898,7 +888,8 @@
         let left = self.objective(inv).saturating_sub(self.now).as_secs_f64();
         let (usual, slow) = (self.expect(0.75, op), self.expect(0.95, op));
         let again = self.set.operations[op.0].repeat != Repeat::NonIdempotent
-            && (inv.deliveries.len() as u32) + 1 < self.set.limits.tries;
+            && (inv.deliveries.len() as u32) + 1 < inv.tries
+            && !inv.coming;
         let patience = (PATIENCE * slow).max(left - PATIENCE * usual);
         let timeout = (again && !self.set.limits.parallel && patience + usual < left)
             .then(|| Duration::from_secs_f64(patience));
@@ -916,7 +907,8 @@
             self.due.insert((self.now + Duration::from_secs_f64(COPY_BY * left), Due::Copy(id)));
         }
         let (objective, no) = (self.set.operations[op.0].latency_objective, inv.deliveries.len() - 1);
-        self.due.insert((self.now + objective, Due::Overdue(id, no)));
+        let overdue = (self.now + objective, Due::Overdue(id, no));
+        self.due.extend((!self.invs[&id].coming).then_some(overdue));
         self.out.push(Action::Deliver { inv: id, tgt, timeout });
     }
 
@@ -1001,7 +993,7 @@
     fn run_due(&mut self) {
         while let Some(&(at, due)) = self.due.first() {
             let live = match due {
-                Due::Final(id) => self.invs.get(&id).is_some_and(|i| !i.started),
+                Due::Final(id) => self.invs.get(&id).is_some_and(|i| !i.started && at >= self.last(i)),
                 Due::Objective(id, at) => self.line.contains(&(at, id)),
                 Due::Copy(id) => self.invs.contains_key(&id),
                 Due::Overdue(id, no) => {
@@ -1071,6 +1063,13 @@
         }
     }
 
+    /// Backends listed, and those of them that are avoided now.
+    pub fn backends(&self) -> (usize, usize) {
+        let listed = || self.tgts.values().filter(|t| t.entry.health != Health::Gone);
+        let avoided = |t: &&Tgt| t.entry.health == Health::Draining || self.now < t.blocked;
+        (listed().count(), listed().filter(avoided).count())
+    }
+
     /// Now and then: turns the flow's span and forgets idle customers.
     fn sweep(&mut self) {
         if self.now < self.flow.0 + FLOW_SPAN {
