--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -1,6 +1,9 @@
 //! The gateway's program against stand-ins on loopback.
 
+mod bodies;
+mod operators;
 mod stand_ins;
+mod upgrade;
 
 use std::io::{BufRead, Read, Write};
 use std::sync::mpsc::channel;
@@ -602,9 +605,7 @@
         held.push(socket);
     }
     assert!(matches!(ask(gateway.at, &request("/tile", "")).status(), 400 | 503));
-    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.child.id())).unwrap();
-    let kb = status.lines().find_map(|l| l.strip_prefix("RssAnon:")?.trim().strip_suffix(" kB"));
-    let kb: u32 = kb.unwrap().parse().unwrap();
+    let kb = rss_kb(&gateway);
     assert!((4_000..32_000).contains(&kb), "{kb} kB");
 }
 
--- a/crates/cli/tests/sockets/stand_ins.rs
+++ b/crates/cli/tests/sockets/stand_ins.rs
@@ -32,8 +32,8 @@
         self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
     }
 
-    /// The next one; none where the connection ended, whole or not.
-    pub fn read(from: &mut BufReader<TcpStream>) -> Option<Message> {
+    /// The next one's head; none where the connection ended before its end.
+    pub fn head(from: &mut BufReader<TcpStream>) -> Option<Message> {
         let mut message = Message::default();
         loop {
             let mut line = String::new();
@@ -50,11 +50,31 @@
                 message.headers.push((name.into(), value.trim().into()));
             }
         }
-        let length = message.header("content-length").map_or(0, |l| l.parse().unwrap());
-        message.body = vec![0; length];
-        from.read_exact(&mut message.body).ok()?;
         Some(message)
     }
+
+    /// The next one; none where the connection ended, whole or not.
+    pub fn read(from: &mut BufReader<TcpStream>) -> Option<Message> {
+        let mut message = Message::head(from)?;
+        let chunked = message.header("transfer-encoding").is_some();
+        let mut length = message.header("content-length").map_or(0, |l| l.parse().unwrap());
+        loop {
+            if chunked {
+                let mut line = String::new();
+                from.read_line(&mut line).ok()?;
+                length = usize::from_str_radix(line.trim(), 16).ok()?;
+            }
+            let before = message.body.len();
+            message.body.resize(before + length, 0);
+            from.read_exact(&mut message.body[before..]).ok()?;
+            if chunked {
+                from.read_exact(&mut [0; 2]).ok()?;
+            }
+            if !chunked || length == 0 {
+                return Some(message);
+            }
+        }
+    }
 }
 
 pub fn answer(head: &str, body: &str) -> String {
@@ -312,6 +332,42 @@
     Message::read(&mut socket).unwrap_or_default()
 }
 
+/// Has a configuration's gateway hear operators, at an address of its own, which comes back.
+pub fn admin(config: &mut Value) -> SocketAddr {
+    let listen: SocketAddr = config["listen"].as_str().unwrap().parse().unwrap();
+    let admin = SocketAddr::from((listen.ip(), 9100));
+    config["admin_addr"] = json!(admin);
+    admin
+}
+
+/// An operator's call: method and path.
+pub fn call(at: SocketAddr, what: &str) -> Message {
+    ask(at, &format!("{what} HTTP/1.1\r\nHost: x\r\n\r\n"))
+}
+
+/// One of the figures, by its name with its label.
+pub fn figure(admin: SocketAddr, name: &str) -> Option<i64> {
+    let text = String::from_utf8(call(admin, "GET /api/telemetry").body).ok()?;
+    text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' ')?.parse().ok())
+}
+
+pub fn until(mut done: impl FnMut() -> bool) {
+    for _ in 0..1000 {
+        if done() {
+            return;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    panic!("it does not come to it");
+}
+
+/// Memory that is a gateway's own.
+pub fn rss_kb(gateway: &Gateway) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.child.id())).unwrap();
+    let kb = status.lines().find_map(|l| l.strip_prefix("RssAnon:")?.trim().strip_suffix(" kB"));
+    kb.unwrap().parse().unwrap()
+}
+
 pub fn wait<T>(from: &Receiver<T>) -> T {
     from.recv_timeout(HANGS).expect("it hangs")
 }
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -393,8 +393,8 @@
             () = sleep(LIST), if some => log!(warn, "list-late", "serving with the list as last known"),
         }
         if let Some(mut link) = elder {
-            if younger.prepared() && link.say(&Said::Prepared).await {
-                let said = link.hear_soon().await;
+            if younger.prepared() {
+                let said = if link.say(&Said::Prepared).await { link.hear_soon().await } else { None };
                 younger.on(said.as_ref());
                 if let Some(Said::Carry(carry)) = said {
                     running.module.send(ToModule::Carried(carry)).await.map_err(|e| e.to_string())?;
