Module's tests of live settings, hand-over and coming bodies; the plain model plays them too

Need: the module's new events had no test of their own. Found: slots of two lengths have one number near the clock's start, which Unix time never is.

--- a/crates/cli/tests/sockets/bodies.rs
+++ b/crates/cli/tests/sockets/bodies.rs
@@ -69,7 +69,7 @@
             from.get_mut().write_all(b"\r\n").unwrap();
         }
         from.get_mut().write_all(b"0\r\n\r\n").unwrap();
-        from.read(&mut [0]).ok();
+        from.read_exact(&mut [0]).ok();
     });
     let gateway = tokened(&[("s-1", at), ("s-2", at)], 48);
     let all: Vec<_> = (0..10)
--- a/tests/rules/decisions.rs
+++ b/tests/rules/decisions.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::common::*;
+use damsonbeam::Rules;
 use damsonbeam::interface::*;
 
 /// Answers every call at once from a counter that keeps numbers; reads and undos included.
@@ -509,3 +510,96 @@
     }
     assert!(!throttled(&rules.on(ms(1300), arrival(9, ms(1300), "b", 1.0))), "others find free places");
 }
+
+/// Settings that follow: half the quota is at once half, and what was counted before still counts.
+#[test]
+fn counts_move_to_the_slots_of_another_quota() {
+    let set = settings(Repeat::Idempotent);
+    let mut rules = ready(set.clone(), 4);
+    let mut counter = Default::default();
+    let mut arrive = |rules: &mut Rules, n: u64, units: f64| {
+        let now = ms(1_000_000 + n); // Far from where slots of two lengths have one number.
+        throttled(&ask(rules, &mut counter, now, arrival(n, now, "a", units)))
+    };
+    assert!(!arrive(&mut rules, 0, 2.0) && !arrive(&mut rules, 1, 2.0), "4 of 8 units");
+    let mut new = set.clone();
+    (new.plans[0].rate, new.plans[0].burst) = (4.0, 6.0);
+    rules.on(ms(1_000_010), Event::Settings(Box::new(set.follow(new))));
+    assert!(!arrive(&mut rules, 20, 1.0), "the fifth unit");
+    assert!(arrive(&mut rules, 21, 2.0), "4 units of before and 1 since leave no 2 of 6");
+    let slots: Vec<_> = counter.values().filter(|v| **v > 0.0).collect();
+    assert!(slots.contains(&&5.0), "the new slot's name holds all of it, for the others to see: {counter:?}");
+}
+
+#[test]
+fn an_operation_keeps_its_effect_while_under_way_and_its_learned_times_by_name() {
+    let set = settings(Repeat::Idempotent);
+    let mut rules = ready(Settings { counter: None, ..set.clone() }, 4);
+    let first = delivered(&rules.on(ms(1000), arrival(1, ms(1000), "a", 1.0)))[0];
+    let mut new = Settings { counter: None, ..set.clone() };
+    new.operations.insert(0, Operation { name: "b".into(), ..new.operations[0].clone() });
+    new.operations[1].repeat = Repeat::NonIdempotent;
+    let set = set.follow(new);
+    rules.on(ms(1010), Event::Settings(Box::new(set.clone())));
+    let again = rules.on(ms(1100), outcome(1, 0, first, Outcome::Failed, false));
+    assert_eq!(delivered(&again).len(), 1, "idempotent when it came");
+    let Event::Invocation(mut told) = arrival(2, ms(1200), "a", 1.0) else { unreachable!() };
+    told.op = set.in_force.operations[1];
+    let first = delivered(&rules.on(ms(1200), Event::Invocation(told)))[0];
+    let ended = rules.on(ms(1300), outcome(2, 0, first, Outcome::Failed, false));
+    assert!(
+        delivered(&ended).is_empty() && ended.contains(&Action::Error { inv: InvId(2) }),
+        "it may have run"
+    );
+}
+
+/// Two processes of one gateway have one part of a ceiling, and one of what cold backends may get.
+#[test]
+fn a_process_that_has_yielded_uses_no_budget_and_its_successor_has_what_was_left() {
+    let mut set = settings(Repeat::Idempotent);
+    set.counter = None;
+    set.plans[0] =
+        Plan { name: "p".into(), ceiling_rate: 3.0, ceiling_burst: 12.0, price: 1.0, ..Plan::default() };
+    let mut elder = ready(set.clone(), 4);
+    assert_eq!(delivered(&elder.on(ms(5000), arrival(1, ms(5000), "a", 2.0))).len(), 1);
+    let actions = elder.on(ms(5001), Event::Yield);
+    let Some(Action::HandOver(carry)) = actions.into_iter().find(|a| matches!(a, Action::HandOver(_))) else {
+        panic!("nothing is handed over");
+    };
+    assert!(throttled(&elder.on(ms(5002), arrival(2, ms(5002), "a", 1.0))), "its part is gone");
+    let mut younger = Rules::new(9, set, ms(5001));
+    let up = (0..4).map(|t| entry(t, Health::Up, Duration::ZERO)).collect();
+    younger.on(ms(5002), list(ListForm::Restored, up));
+    younger.on(ms(5003), Event::Carried(carry));
+    assert_eq!(delivered(&younger.on(ms(5004), arrival(3, ms(5004), "a", 2.0))).len(), 1, "4 s' part less 2");
+    assert!(throttled(&younger.on(ms(5005), arrival(4, ms(5005), "a", 1.0))), "no store anew");
+    // The younger is gone: what it used is not known, so the elder's part is earned anew.
+    elder.on(ms(5010), Event::Resume);
+    assert!(throttled(&elder.on(ms(5011), arrival(5, ms(5011), "a", 1.0))));
+    assert_eq!(delivered(&elder.on(ms(6100), arrival(6, ms(6100), "a", 1.0))).len(), 1);
+}
+
+#[test]
+fn no_time_runs_while_a_body_comes_and_none_that_is_spent_is_sent_again() {
+    let mut set = settings(Repeat::Idempotent);
+    set.plans.clear();
+    let mut rules = ready(set, 4);
+    let Event::Invocation(mut told) = arrival(1, ms(1000), "a", 1.0) else { unreachable!() };
+    (told.coming, told.deadline) = (true, ms(600_000));
+    let first = delivered(&rules.on(ms(1000), Event::Invocation(told)))[0];
+    for at in (1100..9000).step_by(100) {
+        let actions = rules.on(ms(at), Event::Timer { token: "due".into() });
+        assert!(!throttled(&actions) && delivered(&actions).is_empty(), "its client still sends");
+    }
+    rules.on(ms(9000), Event::Whole { inv: InvId(1), deadline: ms(12_000) });
+    rules.on(ms(9000), Event::Spent { inv: InvId(1) });
+    let ended = rules.on(ms(9100), outcome(1, 0, first, Outcome::ConnectFailed, false));
+    assert!(delivered(&ended).is_empty() && throttled(&ended), "it never ran, and can't be sent");
+    // Its time, once whole, ends it.
+    let Event::Invocation(mut told) = arrival(2, ms(20_000), "a", 1.0) else { unreachable!() };
+    (told.coming, told.deadline) = (true, ms(600_000));
+    rules.on(ms(20_000), Event::Invocation(told));
+    rules.on(ms(25_000), Event::Whole { inv: InvId(2), deadline: ms(28_000) });
+    assert!(!throttled(&rules.on(ms(27_000), Event::Timer { token: "due".into() })));
+    assert!(throttled(&rules.on(ms(28_000), Event::Timer { token: "due".into() })));
+}
--- a/tests/rules/model.rs
+++ b/tests/rules/model.rs
@@ -63,17 +63,24 @@
     deadline: Duration,
     units: f64,
     sent: Vec<Sent>,
+    /// What held when it came: its effect, and the fewest tries since.
+    repeat: Repeat,
+    tries: u32,
+    /// Whether the process that has yielded holds it.
+    elder: bool,
 }
 
 struct World {
     set: Settings,
     now: Duration,
     rules: Rules,
+    /// The process before, which has yielded and still ends what it holds.
+    elder: Option<Rules>,
     open: BTreeMap<InvId, Open>,
     over: BTreeSet<InvId>,
     list: BTreeMap<TgtId, (Health, Duration, Duration)>,
     counter: BTreeMap<String, f64>,
-    calls: Vec<(String, f64)>,
+    calls: Vec<(bool, String, f64)>,
     timers: BTreeSet<Duration>,
     ceiling: (f64, Duration),
     /// Units sent: when, where, to a backend how warm, and how many were warm then.
@@ -90,22 +97,56 @@
         }
     }
 
+    /// To the process that serves, or the one before it.
+    fn give_to(&mut self, elder: bool, event: Event) {
+        let to = if elder { self.elder.as_mut() } else { Some(&mut self.rules) };
+        for action in to.map_or(vec![], |rules| rules.on(self.now, event)) {
+            self.check(action, elder);
+        }
+    }
+
     fn give(&mut self, event: Event) {
-        let actions = self.rules.on(self.now, event);
-        for action in actions {
-            self.check(action);
+        self.give_to(false, event);
+    }
+
+    /// Another process takes the place: what the old one holds it still ends.
+    fn hand_over(&mut self, seed: u64) {
+        self.open.retain(|_, o| !o.elder);
+        let Some(Action::HandOver(carry)) = self.rules.on(self.now, Event::Yield).pop() else {
+            panic!("nothing is handed over");
+        };
+        let next = Rules::new(seed, self.set.clone(), self.now);
+        self.elder = Some(std::mem::replace(&mut self.rules, next));
+        self.open.values_mut().for_each(|o| o.elder = true);
+        let now = self.list.iter().map(|(t, l)| entry(t.0, l.0, l.1)).collect();
+        self.give(list(ListForm::Restored, now));
+        self.give(Event::Carried(carry));
+    }
+
+    /// Other settings: another effect, fewer or more tries, another quota.
+    fn settle(&mut self, x: u64) {
+        let mut new = set(x);
+        new.limits.tries = 1 + (x / 8 % 4) as u32;
+        (new.limits.parallel, new.limits.cancel) = (self.set.limits.parallel, self.set.limits.cancel);
+        new.plans = self.set.plans[..1].to_vec();
+        new.plans[0].rate *= [0.5, 1.0, 2.0][(x % 3) as usize];
+        self.set = self.set.follow(new);
+        self.open.values_mut().for_each(|o| o.tries = o.tries.min(self.set.limits.tries));
+        for elder in [false, true] {
+            self.give_to(elder, Event::Settings(Box::new(self.set.clone())));
         }
     }
 
-    fn check(&mut self, action: Action) {
+    fn check(&mut self, action: Action, elder: bool) {
         match action {
             Action::Timer { after, .. } => drop(self.timers.insert(self.now + after)),
-            Action::Count { name, add, .. } => self.calls.push((name, add)),
+            Action::Count { name, add, .. } => self.calls.push((elder, name, add)),
             Action::Deliver { inv, tgt, timeout } => self.sent(inv, tgt, timeout),
             Action::Throttle { inv, .. } => {
                 let open = self.open.remove(&inv).expect("rule 1: one final answer");
+                assert_eq!(open.elder, elder, "rule 1: another process's to answer");
                 let harmless = open.sent.iter().all(|s| s.idle);
-                let allowed = match self.set.operations[0].repeat {
+                let allowed = match open.repeat {
                     Repeat::Idempotent => true,
                     Repeat::Tokened { group, .. } => harmless || group == Group::All,
                     Repeat::NonIdempotent => harmless,
@@ -131,13 +172,13 @@
             self.list.values().filter(|l| l.0 == Health::Up && self.warmth(l.1) >= 1.0).count().max(1);
         let open = self.open.get_mut(&inv).expect("rule 1: nothing after the final answer");
         assert!(now <= open.deadline, "rule 1: nothing after the client's time");
-        assert!(open.sent.len() < self.set.limits.tries as usize);
+        assert!(open.sent.len() < open.tries as usize);
         if !self.set.limits.parallel {
             assert!(open.sent.iter().all(|s| !s.out), "two deliveries out");
         }
         let (zone, cell) = (tgt.0 % 2, tgt.0 % 4);
         for s in open.sent.iter().filter(|s| !s.idle) {
-            match self.set.operations[0].repeat {
+            match open.repeat {
                 Repeat::Idempotent => {}
                 Repeat::NonIdempotent => panic!("rule 2: a second delivery of what may have run"),
                 Repeat::Tokened { group, window } => {
@@ -195,7 +236,9 @@
             }
             while self.timers.first().is_some_and(|t| *t <= self.now) {
                 self.timers.pop_first();
-                self.give(Event::Timer { token: "due".into() });
+                for elder in [false, true] {
+                    self.give_to(elder, Event::Timer { token: "due".into() });
+                }
             }
             for (id, o) in &self.open {
                 assert!(
@@ -210,12 +253,12 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let s = &mut open.sent[n];
         (s.out, s.idle) = (false, how.never_ran());
-        let tgt = s.tgt;
+        let (tgt, elder) = (s.tgt, open.elder);
         if how == Outcome::Ok {
             self.open.remove(&id);
             self.over.insert(id);
         }
-        self.give(outcome(id.0, n as u32, tgt, how, how == Outcome::Ok));
+        self.give_to(elder, outcome(id.0, n as u32, tgt, how, how == Outcome::Ok));
     }
 }
 
@@ -223,6 +266,7 @@
     let set = set(day.choice);
     let mut w = World {
         rules: Rules::new(day.choice, set.clone(), ms(1000)),
+        elder: None,
         set,
         now: ms(1000),
         open: BTreeMap::new(),
@@ -243,8 +287,13 @@
             0..=6 => {
                 let (id, units) = (InvId(n as u64), (1 + x % 4) as f64);
                 let now = w.now;
-                w.open.insert(id, Open { deadline: now + ms(3000), units, sent: Vec::new() });
-                w.give(arrival(id.0, now, "a", units));
+                let op = w.set.in_force.operations[0];
+                let (repeat, tries) = (w.set.operations[op.0].repeat, w.set.limits.tries);
+                let (deadline, sent) = (now + ms(3000), Vec::new());
+                w.open.insert(id, Open { deadline, units, sent, repeat, tries, elder: false });
+                let Event::Invocation(mut told) = arrival(id.0, now, "a", units) else { unreachable!() };
+                told.op = op;
+                w.give(Event::Invocation(told));
             }
             7..=10 => {
                 let outs: Vec<(InvId, usize)> = w
@@ -266,7 +315,7 @@
                 }
             }
             11 | 12 => {
-                for (name, add) in std::mem::take(&mut w.calls) {
+                for (elder, name, add) in std::mem::take(&mut w.calls) {
                     let sum = w.counter.entry(name.clone()).or_default();
                     *sum += add;
                     let sum = *sum;
@@ -275,7 +324,7 @@
                         1 => no_total(&name, Outcome::Full),
                         _ => total(&name, sum),
                     };
-                    w.give(event);
+                    w.give_to(elder, event);
                 }
                 if x % 64 == 0 {
                     w.counter.clear();
@@ -291,15 +340,19 @@
                     (Health::Up, Duration::ZERO),
                 ][(x / 8) as usize % 4];
                 w.list.insert(tgt, (health, since, now));
-                w.give(list(ListForm::Update, vec![entry(tgt.0, health, since)]));
+                for elder in [false, true] {
+                    w.give_to(elder, list(ListForm::Update, vec![entry(tgt.0, health, since)]));
+                }
             }
             14 if x % 16 == 0 => {
                 // Killed and started again: what it held is void, the model's ceiling is not.
-                (w.open, w.calls, w.timers) = Default::default();
+                (w.open, w.calls, w.timers, w.elder) = Default::default();
                 w.rules = Rules::new(x, w.set.clone(), w.now);
                 let now = w.list.iter().map(|(t, l)| entry(t.0, l.0, l.1)).collect();
                 w.give(list(ListForm::Restored, now));
             }
+            14 if x % 16 == 1 => w.hand_over(x),
+            14 if x % 16 < 5 => w.settle(x),
             _ => w.pass(w.now + ms(1 + x % 150)),
         }
     }
