Long answers to slow clients end whole, answers ended by close are taken, docs and lab steps

Looked through who may end a client's connection: the quiet time ran from the end of the backend's body, not from the last byte written, so a slow reader's last bytes were dropped after 2.2 s (clients.rs, the closure in count()); evict() spared only Held, not a stream; an answer in chunks was held back up to 64 KiB whatever the time (bodies::begin). Ruled out: the backend's pool and the list (idle connections only), the module's cancels (taken off at the first byte). Lab: gateway-* steps, times.csv and times.svg, inherited listening sockets.

--- a/crates/cli/tests/sockets/bodies.rs
+++ b/crates/cli/tests/sockets/bodies.rs
@@ -13,6 +13,7 @@
 use crate::stand_ins::*;
 
 const LARGE: usize = 8 << 20;
+const BODY: usize = 64 << 10;
 
 /// A body whose every byte tells its place.
 fn body(length: usize) -> Vec<u8> {
@@ -159,6 +160,69 @@
     }
 }
 
+#[test]
+fn an_answer_that_the_connections_close_ends_is_whole_and_one_that_a_reset_ends_is_not() {
+    for (length, resets) in [(10, false), (300_000, false), (10, true), (300_000, true)] {
+        let (at, _) = raw(move |n, _, mut from| {
+            from.get_mut().write_all(b"HTTP/1.1 200 OK\r\n\r\n").unwrap();
+            from.get_mut().write_all(&body(length)).unwrap();
+            if resets && n == 0 {
+                // Once the bytes are through, for a reset overtakes what waits.
+                thread::sleep(Duration::from_millis(20));
+                socket2::SockRef::from(from.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+            }
+        });
+        let gateway = gateway(&[("s-1", at)], None);
+        let mut socket = connect(gateway.at);
+        socket.get_mut().write_all(request("/tile", "").as_bytes()).unwrap();
+        let answer = Message::read(&mut socket);
+        if resets && length > BODY {
+            assert!(answer.is_none(), "begun and broken, it is cut");
+        } else {
+            assert!(answer.is_some_and(|a| a.status() == 200 && a.body == body(length)), "{length} {resets}");
+        }
+    }
+}
+
+/// At 64 kB a second the last bytes of an answer wait for longer than a quiet connection may.
+#[test]
+fn a_client_that_reads_slowly_gets_its_answer_to_the_end() {
+    let (at, _) = raw(|_, _, mut from| {
+        write!(from.get_mut(), "HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n").unwrap();
+        from.get_mut().write_all(&body(LARGE)).unwrap();
+    });
+    let gateway = gateway(&[("s-1", at)], None);
+    let mut socket = connect(gateway.at);
+    socket2::SockRef::from(socket.get_ref()).set_recv_buffer_size(64 << 10).unwrap();
+    socket.get_mut().write_all(request("/tile", "").as_bytes()).unwrap();
+    Message::head(&mut socket).unwrap();
+    let mut got = vec![0; LARGE];
+    socket.read_exact(&mut got[..LARGE - (3 << 20)]).unwrap();
+    thread::sleep(Duration::from_millis(3500));
+    socket.read_exact(&mut got[LARGE - (3 << 20)..]).expect("the answer is cut");
+    assert!(got == body(LARGE));
+}
+
+#[test]
+fn a_long_answer_that_comes_slowly_begins_before_its_clients_time_is_up() {
+    let (at, _) = raw(|_, _, mut from| {
+        from.get_mut().write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+        for _ in 0..25 {
+            thread::sleep(Duration::from_millis(100));
+            if from.get_mut().write_all(format!("1000\r\n{}\r\n", "x".repeat(0x1000)).as_bytes()).is_err() {
+                return;
+            }
+        }
+        from.get_mut().write_all(b"0\r\n\r\n").unwrap();
+    });
+    let gateway = gateway(&[("s-1", at)], None);
+    let mut socket = connect(gateway.at);
+    let text = request("/tile", "").replace("Left-Ms: 6000", "Left-Ms: 1000");
+    socket.get_mut().write_all(text.as_bytes()).unwrap();
+    let answer = Message::read(&mut socket).expect("it is cut");
+    assert_eq!((answer.status(), answer.body.len()), (200, 25 * 0x1000));
+}
+
 #[test]
 fn a_slow_client_is_waited_for_and_a_silent_one_is_not() {
     let (at, _) = raw(|_, head, mut from| {
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -35,6 +35,9 @@
 const IDLE_PART: (u32, u32) = (3, 4);
 /// Room in a backend's mailbox: more deliveries than a backend's places at any time.
 const JOBS: usize = 256;
+/// An answer that does not say its length is held back for so long from its first bytes on: whole, it can be
+/// told from a broken one; a long one that comes slowly must begin before its client's time is up.
+const HELD: Duration = Duration::from_millis(100);
 /// Turns given to a connection that was let go, to close.
 const TURNS: usize = 8;
 pub static ID: HeaderName = HeaderName::from_static("x-correlation-id");
@@ -394,8 +397,10 @@
 async fn read(rooms: &Rooms, answer: Response<hyper::body::Incoming>) -> Result<Read, String> {
     let (head, mut body) = answer.into_parts();
     let (length, chunks) = (head.headers.get(CONTENT_LENGTH), head.headers.get(TRANSFER_ENCODING));
-    // An end by close can't be told from a break, and a length given in both ways is given in none.
-    if length.is_some() == chunks.is_some_and(|c| c.as_bytes().eq_ignore_ascii_case(b"chunked")) {
+    // A length given in both ways is given in none. With neither, the close of the connection ends it: a
+    // machine that dies resets its connections, and a reset is no end.
+    let chunked = chunks.map(|c| c.as_bytes().eq_ignore_ascii_case(b"chunked"));
+    if chunked == Some(false) || chunked.is_some() && length.is_some() {
         return Err("an answer of no known length".into());
     }
     let said = body.size_hint().exact();
@@ -407,7 +412,8 @@
     } else {
         // What may be this large and does not say so has its room from what all answers share.
         let room = if said.is_none() { Some(rooms.take(BODY).ok_or("no room for an answer")?) } else { None };
-        let (first, whole) = bodies::begin(&mut body).await.map_err(|e| e.to_string())?;
+        let within = said.is_none().then_some(HELD);
+        let (first, whole) = bodies::begin(&mut body, within).await.map_err(|e| e.to_string())?;
         (room.into_iter().fold(first, |first, room| room.keep(first)), whole)
     };
     if whole {
--- a/crates/gateway/src/bodies.rs
+++ b/crates/gateway/src/bodies.rs
@@ -14,7 +14,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::sync::oneshot;
-use tokio::time::{Instant, Sleep, sleep, timeout};
+use tokio::time::{Instant, Sleep, sleep, timeout, timeout_at};
 
 use crate::sizes::{BODY, LARGE};
 
@@ -27,14 +27,24 @@
 /// What a client still sends after its answer is read for so long, so that the answer reaches it.
 const DRAIN: Duration = Duration::from_secs(10);
 
-/// The start of a body, and whether that was all.
+/// The start of a body, and whether that was all: so much as is held, or as comes in the time given.
 ///
 /// # Errors
 /// Where the body breaks off.
-pub async fn begin(body: &mut Incoming) -> Result<(Bytes, bool), hyper::Error> {
+pub async fn begin(body: &mut Incoming, within: Option<Duration>) -> Result<(Bytes, bool), hyper::Error> {
     let mut parts: Vec<u8> = Vec::new();
+    let until = within.map(|within| Instant::now() + within);
     while parts.len() <= BODY {
-        match body.frame().await {
+        let frame = match until {
+            Some(until) => match timeout_at(until, body.frame()).await {
+                Ok(frame) => frame,
+                // Nothing to begin with is no answer yet.
+                Err(_) if parts.is_empty() => body.frame().await,
+                Err(_) => break,
+            },
+            None => body.frame().await,
+        };
+        match frame {
             Some(frame) => {
                 if let Ok(data) = frame?.into_data() {
                     // Most bodies come in one part: no copy then.
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -98,6 +98,8 @@
     /// To be closed: after what is open on it, or at once.
     close: Notify,
     at_once: Cell<bool>,
+    /// An answer passed on as it comes has come whole; its last bytes may still wait to be written.
+    given: Cell<bool>,
     /// Its request's body was not read to the end: its answer ends the connection.
     unread: Cell<bool>,
 }
@@ -170,7 +172,11 @@
         Poll::Ready(Ok(n))
     }
 
+    /// Hyper flushes once all that it holds is written.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        if self.conn.stand.get() == Stand::Taking && self.conn.given.get() {
+            self.conn.turn(Stand::Quiet, self.clock.now());
+        }
         Poll::Ready(Ok(()))
     }
 
@@ -328,6 +334,7 @@
             heads: RefCell::default(),
             close: Notify::new(),
             at_once: Cell::new(false),
+            given: Cell::new(false),
             unread: Cell::new(false),
         });
         self.conns.borrow_mut().insert(id, conn.clone());
@@ -390,7 +397,8 @@
     /// of each kind before others, or hundreds that say nothing would push out the usual clients.
     fn evict(&self) -> bool {
         let mut conns = self.conns.borrow_mut();
-        let free = conns.iter().filter(|(_, c)| c.stand.get() != Stand::Held);
+        let holds = |c: &Conn| matches!(c.stand.get(), Stand::Held | Stand::Giving | Stand::Taking);
+        let free = conns.iter().filter(|(_, c)| !holds(c));
         let id = free.min_by_key(|(_, c)| (c.proven.get(), c.since.get())).map(|(id, _)| *id);
         let gone = id.and_then(|id| conns.remove(&id));
         gone.inspect(|c| (c.at_once.set(true), c.close.notify_one()).1).is_some()
@@ -576,14 +584,13 @@
         };
         let (clients, conn, operation) = (self.clone(), conn.clone(), operation.clone());
         clients.figures.current.inc();
+        conn.given.set(false);
         body.count = Some(Box::new(move |end| {
             clients.figures.current.dec();
             let figures = &clients.figures;
             let all = if end == End::Broken { &figures.errored } else { &figures.answered };
             all.with_label_values(&[&*operation]).inc();
-            if conn.stand.get() == Stand::Taking {
-                conn.turn(Stand::Quiet, clients.clock.now());
-            }
+            conn.given.set(true);
         }));
     }
 
@@ -655,7 +662,7 @@
         conn.turn(Stand::Giving, self.clock.now());
         conn.began.set(self.clock.now());
         conn.came.set(0);
-        let (first, whole) = bodies::begin(&mut body).await.map_err(|_| StatusCode::BAD_REQUEST)?;
+        let (first, whole) = bodies::begin(&mut body, None).await.map_err(|_| StatusCode::BAD_REQUEST)?;
         let first = room.keep(first);
         if whole {
             return Ok(Load::Whole(first));
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -15,6 +15,8 @@
 
 use std::time::Duration;
 
+use crate::gateways::Place;
+
 /// The stand-ins of one experiment.
 pub struct Lab {
     pub counter: Counter,
@@ -39,7 +41,7 @@
         Ok(Lab { counter, fleet, discovery })
     }
 
-    /// Carries a step out at once.
+    /// Carries a step out at once; those of gateways are their places' ([`Place::apply`]).
     pub fn apply(&self, fault: &Fault) {
         let fronts = |f: Option<usize>| f.map_or(0..self.counter.fronts.len(), |f| f..f + 1);
         let each = |b: Option<usize>, change: &dyn Fn(&mut Behaviour)| {
@@ -87,15 +89,28 @@
                 let until = std::time::Instant::now() + *lasting;
                 self.fleet.backends[*backend].set(|b| (b.cold_factor, b.cold_until) = (*factor, Some(until)));
             }
+            Fault::GatewayDrain { .. }
+            | Fault::GatewayRejoin { .. }
+            | Fault::GatewayReload { .. }
+            | Fault::GatewayUpgrade { .. }
+            | Fault::GatewayKill { .. }
+            | Fault::GatewayStart { .. } => {}
         }
     }
 
-    /// Runs a script from now on; returns when its last step is done.
-    pub async fn play(&self, steps: &[Step]) {
+    /// Runs a script from now on; returns when its last step is done, or with the first that can't be done.
+    ///
+    /// # Errors
+    /// The step's line and what failed: a gateway that does not start, or an operator's call that is refused.
+    pub async fn play(&self, steps: &[Step], gateways: &mut [Place]) -> Result<(), String> {
         let start = tokio::time::Instant::now();
         for step in steps {
             tokio::time::sleep_until(start + step.at).await;
             self.apply(&step.fault);
+            for (n, place) in gateways.iter_mut().enumerate() {
+                place.apply(n, &step.fault).await.map_err(|why| format!("line {}: {why}", step.line))?;
+            }
         }
+        Ok(())
     }
 }
--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -12,7 +12,8 @@
 
 use std::path::{Path, PathBuf};
 
-use damsonbeam_lab::{Behaviour, Lab, gateways};
+use damsonbeam_lab::gateways::{self, Place};
+use damsonbeam_lab::{Behaviour, Fault, Lab};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
@@ -122,27 +123,27 @@
     let lab = Lab::start(e.gateways, e.stores, e.backends, profile.seed, Behaviour::default())
         .await
         .map_err(|x| format!("lab: {x}"))?;
+    let common = gateways::Common {
+        program,
+        of: e.gateways,
+        discovery: lab.discovery.at,
+        settings: &settings,
+        witness: e.witness,
+        inherits: steps.iter().any(|s| matches!(s.fault, Fault::GatewayUpgrade { .. })),
+    };
     let mut started = Vec::new();
     for n in 0..e.gateways {
-        started.push(
-            gateways::start(
-                program,
-                n,
-                e.gateways,
-                lab.counter.fronts[n],
-                lab.discovery.at,
-                &settings,
-                e.witness,
-            )
-            .await?,
-        );
+        started.push(Place::start(n, lab.counter.fronts[n], &common).await?);
     }
     let addresses: Vec<_> = started.iter().map(|g| g.at).collect();
-    let (records, ()) = tokio::join!(run::run(&profile, &addresses), lab.play(&steps));
+    let (records, played) = tokio::join!(run::run(&profile, &addresses), lab.play(&steps, &mut started));
+    played.map_err(|why| format!("{}: {why}", e.faults.as_deref().unwrap_or(path).display()))?;
     let received = lab.fleet.received();
     let calls = lab.counter.calls().len();
     drop(started);
     let mut summary = report::write(out, &e.title, &profile, &records)?;
+    let named: Vec<_> = steps.iter().map(|s| (s.at, s.name.clone())).collect();
+    report::write_times(out, &e.title, &profile, &records, &named)?;
     let worst: Vec<f64> =
         (0..profile.firms.len()).map(|f| report::worst_minute(&profile, &records, f)).collect();
     let unanswered = records.iter().filter(|r| r.answer == Answer::None).count();
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -43,16 +43,21 @@
     let err = |e: &dyn std::fmt::Display| format!("{}: {e}", folder.display());
     std::fs::create_dir_all(folder).map_err(|e| err(&e))?;
     // The table: second, firm, and the answers of what was sent in that second.
-    let mut rows: BTreeMap<(u64, usize), [usize; 5]> = BTreeMap::new();
+    let mut rows: BTreeMap<(u64, usize), [usize; 6]> = BTreeMap::new();
     for r in records {
-        let i = [Answer::Succeeded, Answer::Throttled, Answer::Errored, Answer::None, Answer::NotTaken]
-            .iter()
-            .position(|a| *a == r.answer)
-            .unwrap_or(2);
+        let all = [
+            Answer::Succeeded,
+            Answer::Throttled,
+            Answer::Errored,
+            Answer::None,
+            Answer::NotTaken,
+            Answer::Cut,
+        ];
+        let i = all.iter().position(|a| *a == r.answer).unwrap_or(2);
         rows.entry((r.sent.as_secs(), r.firm)).or_default()[i] += 1;
     }
     let mut csv = csv::Writer::from_path(folder.join("table.csv")).map_err(|e| err(&e))?;
-    csv.write_record(["second", "firm", "succeeded", "throttled", "errored", "none", "not_taken"])
+    csv.write_record(["second", "firm", "succeeded", "throttled", "errored", "none", "not_taken", "cut"])
         .map_err(|e| err(&e))?;
     for ((second, firm), c) in &rows {
         let mut row = vec![second.to_string(), profile.firms[*firm].id.to_string()];
@@ -110,7 +115,79 @@
     Ok(s)
 }
 
-type Rows = BTreeMap<(u64, usize), [usize; 5]>;
+/// Answer times through a run with the steps that came in it: `times.csv` (by second: answers, quantiles in
+/// milliseconds, those cut or not taken) and `times.svg`.
+pub fn write_times(
+    folder: &Path,
+    title: &str,
+    profile: &Profile,
+    records: &[Record],
+    steps: &[(Duration, String)],
+) -> Result<(), String> {
+    let err = |e: &dyn std::fmt::Display| format!("{}: {e}", folder.display());
+    let seconds = profile.lasting.as_secs() as usize + 1;
+    let mut rows = Vec::new();
+    for second in 0..seconds {
+        let sent = records.iter().filter(|r| r.sent.as_secs() as usize == second);
+        let mut times = Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).map_err(|e| err(&e))?;
+        let (mut answered, mut cut) = (0usize, 0usize);
+        for r in sent {
+            match r.answer {
+                Answer::Cut | Answer::NotTaken | Answer::None => cut += 1,
+                _ => {
+                    answered += 1;
+                    times.saturating_record(r.took.as_micros().max(1) as u64);
+                }
+            }
+        }
+        let ms = |q: f64| times.value_at_quantile(q) as f64 / 1000.0;
+        rows.push((second, answered, ms(0.5), ms(0.99), ms(1.0), cut));
+    }
+    let mut csv = csv::Writer::from_path(folder.join("times.csv")).map_err(|e| err(&e))?;
+    csv.write_record(["second", "answered", "p50_ms", "p99_ms", "most_ms", "ended_at_the_door"])
+        .map_err(|e| err(&e))?;
+    rows.iter().try_for_each(|row| csv.serialize(row)).map_err(|e| err(&e))?;
+    csv.flush().map_err(|e| err(&e))?;
+    times_chart(&folder.join("times.svg"), title, &rows, steps).map_err(|e| err(&e))
+}
+
+/// Second, answers, p50, p99 and most in milliseconds, ended at the door.
+type Times = (usize, usize, f64, f64, f64, usize);
+
+fn times_chart(
+    path: &Path,
+    title: &str,
+    rows: &[Times],
+    steps: &[(Duration, String)],
+) -> Result<(), Box<dyn std::error::Error>> {
+    let root = SVGBackend::new(path, (900, 480)).into_drawing_area();
+    root.fill(&WHITE)?;
+    let most = rows.iter().map(|r| r.3).fold(1.0, f64::max) * 1.2;
+    let mut chart = ChartBuilder::on(&root)
+        .caption(title, ("sans-serif", 18))
+        .margin(10)
+        .x_label_area_size(30)
+        .y_label_area_size(50)
+        .build_cartesian_2d(0f64..rows.len() as f64, 0f64..most)?;
+    chart.configure_mesh().x_desc("second").y_desc("answer time, ms (ended at the door: red)").draw()?;
+    for (n, (at, what)) in steps.iter().enumerate() {
+        let x = at.as_secs_f64();
+        chart.draw_series(LineSeries::new([(x, 0.0), (x, most)], BLACK.mix(0.25)))?;
+        let y = most * (0.98 - 0.05 * (n % 4) as f64);
+        chart.draw_series([Text::new(what.clone(), (x, y), ("sans-serif", 11))])?;
+    }
+    let (p50, p99) = (Palette99::pick(2).to_rgba(), Palette99::pick(3).to_rgba());
+    let line = |value: fn(&Times) -> f64| rows.iter().map(move |r| (r.0 as f64 + 0.5, value(r)));
+    chart.draw_series(LineSeries::new(line(|r| r.2), p50.stroke_width(2)))?.label("p50");
+    chart.draw_series(LineSeries::new(line(|r| r.3), p99.stroke_width(2)))?.label("p99");
+    let cut = rows.iter().filter(|r| r.5 > 0);
+    chart.draw_series(cut.map(|r| Circle::new((r.0 as f64 + 0.5, 0.0), 3 + r.5 as i32, RED.filled())))?;
+    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+    root.present()?;
+    Ok(())
+}
+
+type Rows = BTreeMap<(u64, usize), [usize; 6]>;
 
 fn chart(path: &Path, title: &str, profile: &Profile, rows: &Rows) -> Result<(), Box<dyn std::error::Error>> {
     let root = SVGBackend::new(path, (900, 480)).into_drawing_area();
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -23,6 +23,8 @@
     Succeeded,
     Throttled,
     Errored,
+    /// Its connection ended before its answer, or in it.
+    Cut,
     /// Nothing came within the client's patience.
     None,
     /// The gateway took no connection: it never had the invocation.
@@ -35,6 +37,7 @@
             Answer::Succeeded => "succeeded",
             Answer::Throttled => "throttled",
             Answer::Errored => "errored",
+            Answer::Cut => "cut",
             Answer::None => "none",
             Answer::NotTaken => "not-taken",
         }
@@ -104,12 +107,13 @@
                     let answer = match tokio::time::timeout(patience, client.request(request)).await {
                         Err(_) => Answer::None,
                         Ok(Err(e)) if e.is_connect() => Answer::NotTaken,
-                        Ok(Err(_)) => Answer::Errored,
+                        Ok(Err(_)) => Answer::Cut,
                         Ok(Ok(r)) => {
                             let status = r.status().as_u16();
                             // Read whole, so that the connection goes back to the pool.
-                            r.into_body().collect().await.ok();
+                            let whole = r.into_body().collect().await.is_ok();
                             match status {
+                                _ if !whole => Answer::Cut,
                                 200 => Answer::Succeeded,
                                 429 | 503 => Answer::Throttled,
                                 _ => Answer::Errored,
