--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -153,6 +153,8 @@
 
 /// Second, answers, p50, p99 and most in milliseconds, ended at the door.
 type Times = (usize, usize, f64, f64, f64, usize);
+/// A line of the chart: its name, its colour, and its value in a row.
+type Quantile = (&'static str, RGBColor, fn(&Times) -> f64);
 
 fn times_chart(
     path: &Path,
@@ -176,10 +178,16 @@
         let y = most * (0.98 - 0.05 * (n % 4) as f64);
         chart.draw_series([Text::new(what.clone(), (x, y), ("sans-serif", 11))])?;
     }
-    let (p50, p99) = (Palette99::pick(2).to_rgba(), Palette99::pick(3).to_rgba());
-    let line = |value: fn(&Times) -> f64| rows.iter().map(move |r| (r.0 as f64 + 0.5, value(r)));
-    chart.draw_series(LineSeries::new(line(|r| r.2), p50.stroke_width(2)))?.label("p50");
-    chart.draw_series(LineSeries::new(line(|r| r.3), p99.stroke_width(2)))?.label("p99");
+    // A second with no answer has no answer time.
+    let line =
+        |value: fn(&Times) -> f64| rows.iter().filter(|r| r.1 > 0).map(move |r| (r.0 as f64 + 0.5, value(r)));
+    let quantiles: [Quantile; 2] = [("p50", BLUE, |r| r.2), ("p99", MAGENTA, |r| r.3)];
+    for (name, colour, value) in quantiles {
+        chart
+            .draw_series(LineSeries::new(line(value), colour.stroke_width(2)))?
+            .label(name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour.stroke_width(2)));
+    }
     let cut = rows.iter().filter(|r| r.5 > 0);
     chart.draw_series(cut.map(|r| Circle::new((r.0 as f64 + 0.5, 0.0), 3 + r.5 as i32, RED.filled())))?;
     chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
