--- a/crates/cli/tests/sockets/operators.rs
+++ b/crates/cli/tests/sockets/operators.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufRead, Write};
 use std::net::SocketAddr;
+use std::path::Path;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -15,6 +16,13 @@
     (start(config, list), admin)
 }
 
+/// Has a gateway take a configuration, its `nth`.
+fn reload(gateway: &Gateway, path: &Path, config: &Value, admin: SocketAddr, nth: i64) {
+    std::fs::write(path, config.to_string()).unwrap();
+    gateway.signal("-HUP");
+    until(|| figure(admin, "gateway_conf_loaded") == Some(nth));
+}
+
 const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
 
 fn named(text: &str, n: usize) -> String {
@@ -110,9 +118,7 @@
     let admin = admin(&mut config);
     let (mut gateway, path) = reloadable(&config, list);
     call(admin, "POST /api/evacuate");
-    std::fs::write(&path, config.to_string()).unwrap();
-    gateway.signal("-HUP");
-    until(|| figure(admin, "gateway_conf_loaded") == Some(1));
+    reload(&gateway, &path, &config, admin, 1);
     assert_eq!(ask(gateway.at, UP).status(), 503);
     gateway.signal("-TERM");
     gateway.signal("-TERM");
@@ -135,9 +141,7 @@
     config["settings"]["request-classes"][0]["idempotency"] = json!("fragile");
     let classes = config["settings"]["request-classes"].as_array_mut().unwrap();
     classes.insert(0, class);
-    std::fs::write(&path, config.to_string()).unwrap();
-    gateway.signal("-HUP");
-    until(|| figure(admin, "gateway_conf_loaded") == Some(1));
+    reload(&gateway, &path, &config, admin, 1);
     go.send(()).unwrap();
     // Idempotent when it came, it may go again, though its operation may not any more.
     let answer = Message::read(&mut held).unwrap();
@@ -146,9 +150,7 @@
     assert_eq!(ask(gateway.at, &named(&request("/mark", ""), 5)).status(), 200, "a new operation serves");
     assert_eq!(ask(gateway.at, &named(&post, 6)).status(), 200, "the stricter effect holds");
     config["settings"]["request-classes"].as_array_mut().unwrap().remove(0);
-    std::fs::write(&path, config.to_string()).unwrap();
-    gateway.signal("-HUP");
-    until(|| figure(admin, "gateway_conf_loaded") == Some(2));
+    reload(&gateway, &path, &config, admin, 2);
     assert_eq!(ask(gateway.at, &named(&request("/mark", ""), 7)).status(), 400, "it is gone");
     assert_eq!(figure(admin, "gateway_answered{group=\"mark\"}"), Some(1), "its figures stay");
 }
@@ -163,9 +165,7 @@
     held.get_mut().write_all(request("/tile", "").as_bytes()).unwrap();
     wait(&told);
     config["settings"]["ceilings"]["try-limit"] = json!(1);
-    std::fs::write(&path, config.to_string()).unwrap();
-    gateway.signal("-HUP");
-    until(|| figure(admin, "gateway_conf_loaded") == Some(1));
+    reload(&gateway, &path, &config, admin, 1);
     go.send(()).unwrap();
     assert_eq!(Message::read(&mut held).unwrap().status(), 429);
     assert_eq!(backend.got.lock().unwrap().len(), 1, "no delivery beyond the new number");
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -35,7 +35,7 @@
 const IDLE_PART: (u32, u32) = (3, 4);
 /// Room in a backend's mailbox: more deliveries than a backend's places at any time.
 const JOBS: usize = 256;
-/// An answer that does not say its length is held back for so long from its first bytes on: whole, it can be
+/// An answer that does not say its length is held back for so long from its head on: whole, it can be
 /// told from a broken one; a long one that comes slowly must begin before its client's time is up.
 const HELD: Duration = Duration::from_millis(100);
 /// Turns given to a connection that was let go, to close.
--- a/crates/gateway/src/bodies.rs
+++ b/crates/gateway/src/bodies.rs
@@ -21,7 +21,7 @@
 type Error = Box<dyn std::error::Error + Send + Sync>;
 
 /// A client that sends nothing of its body for this long is held for gone.
-const CLIENT_SILENT: Duration = Duration::from_millis(2600);
+pub const CLIENT_SILENT: Duration = Duration::from_millis(2600);
 /// A backend that gives nothing of an answer begun for this long is held for gone: the answer is cut.
 const BACKEND_SILENT: Duration = Duration::from_secs(30);
 /// What a client still sends after its answer is read for so long, so that the answer reaches it.
@@ -115,24 +115,16 @@
         let mut rest = self.rest.borrow_mut();
         let Some(body) = rest.as_mut() else { return Poll::Ready(Some(Err("the body is given up".into()))) };
         let frame = ready!(Pin::new(&mut *body).poll_frame(cx));
-        match &frame {
-            Some(Ok(frame)) => {
-                self.spent.set(true);
-                self.came.set(self.came.get() + frame.data_ref().map_or(0, Bytes::len) as u64);
-                if self.came.get() > LARGE as u64 {
-                    return Poll::Ready(Some(Err("the body is too large".into())));
-                }
+        if let Some(Ok(frame)) = &frame {
+            self.spent.set(true);
+            self.came.set(self.came.get() + frame.data_ref().map_or(0, Bytes::len) as u64);
+            if self.came.get() > LARGE as u64 {
+                return Poll::Ready(Some(Err("the body is too large".into())));
             }
-            Some(Err(_)) => {}
-            None => self.ended.set(true),
         }
-        if body.is_end_stream() {
+        if frame.is_none() || body.is_end_stream() {
             self.ended.set(true);
-        }
-        if self.ended.get()
-            && let Some(whole) = self.whole.borrow_mut().take()
-        {
-            whole();
+            self.whole.borrow_mut().take().into_iter().for_each(|whole| whole());
         }
         Poll::Ready(frame.map(|f| f.map_err(Error::from)))
     }
@@ -162,12 +154,28 @@
     }
 }
 
+/// How long the side that a body comes from has said nothing.
+#[derive(Default)]
+struct Silence(Option<Pin<Box<Sleep>>>);
+
+impl Silence {
+    /// It said something.
+    fn broken(&mut self) {
+        self.0 = None;
+    }
+
+    /// Ready once it has lasted for `most`.
+    fn poll(&mut self, most: Duration, cx: &mut Context) -> Poll<()> {
+        self.0.get_or_insert_with(|| Box::pin(sleep(most))).as_mut().poll(cx)
+    }
+}
+
 /// A request's body as one delivery carries it.
 pub struct Upload {
     first: Option<Bytes>,
     rest: Option<Rc<Coming>>,
     length: Option<u64>,
-    alarm: Option<Pin<Box<Sleep>>>,
+    silence: Silence,
 }
 
 impl Upload {
@@ -175,11 +183,11 @@
         match load {
             Load::Whole(bytes) => {
                 let first = Some(bytes.clone()).filter(|b| !b.is_empty());
-                Upload { first, rest: None, length: load.length(), alarm: None }
+                Upload { first, rest: None, length: load.length(), silence: Silence::default() }
             }
             Load::Coming(coming) => {
                 let (first, rest) = (Some(coming.first.clone()), Some(coming.clone()));
-                Upload { first, rest, length: coming.length, alarm: None }
+                Upload { first, rest, length: coming.length, silence: Silence::default() }
             }
         }
     }
@@ -196,12 +204,11 @@
         let Some(rest) = self.rest.clone() else { return Poll::Ready(None) };
         match rest.poll(cx) {
             Poll::Ready(frame) => {
-                self.alarm = None;
+                self.silence.broken();
                 Poll::Ready(frame)
             }
             Poll::Pending => {
-                let alarm = self.alarm.get_or_insert_with(|| Box::pin(sleep(CLIENT_SILENT)));
-                ready!(alarm.as_mut().poll(cx));
+                ready!(self.silence.poll(CLIENT_SILENT, cx));
                 Poll::Ready(Some(Err("the client stopped sending".into())))
             }
         }
@@ -231,7 +238,7 @@
     first: Option<Bytes>,
     rest: Incoming,
     length: Option<u64>,
-    alarm: Option<Pin<Box<Sleep>>>,
+    silence: Silence,
     broken: bool,
     over: bool,
     /// Told whether it ended whole, so that its connection can carry the next.
@@ -244,8 +251,8 @@
     pub fn new(first: Bytes, rest: Incoming, length: Option<u64>) -> (Self, oneshot::Receiver<End>) {
         let (end, ended) = oneshot::channel();
         let first = Some(first).filter(|f| !f.is_empty());
-        let (alarm, count) = (None, None);
-        (Through { first, rest, length, alarm, broken: false, over: false, end: Some(end), count }, ended)
+        let (silence, count) = (Silence::default(), None);
+        (Through { first, rest, length, silence, broken: false, over: false, end: Some(end), count }, ended)
     }
 }
 
@@ -260,14 +267,12 @@
         let frame = match Pin::new(&mut self.rest).poll_frame(cx) {
             Poll::Ready(frame) => frame,
             Poll::Pending => {
-                let until = Instant::now() + BACKEND_SILENT;
-                let alarm = self.alarm.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(until)));
-                ready!(alarm.as_mut().poll(cx));
+                ready!(self.silence.poll(BACKEND_SILENT, cx));
                 self.broken = true;
                 return Poll::Ready(Some(Err("the backend fell silent".into())));
             }
         };
-        self.alarm = None;
+        self.silence.broken();
         match &frame {
             Some(Err(_)) => self.broken = true,
             Some(Ok(_)) => self.over = self.rest.is_end_stream(),
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -29,7 +29,7 @@
 use tower::Service;
 
 use crate::backends::{ID, TIME_LEFT, end_to_end};
-use crate::bodies::{self, Coming, End, Given, Load};
+use crate::bodies::{self, CLIENT_SILENT, Coming, End, Given, Load};
 use crate::clock::Clock;
 use crate::heads::Heads;
 use crate::log::log;
@@ -47,9 +47,8 @@
 /// In this time a head comes whole: from the connection's start, later from its own first byte. Usual
 /// clients need a fraction, some 2 s; one that says nothing, or never ends, is owed a close within 3 s.
 const WHOLE: Duration = Duration::from_millis(2600);
-/// A body may be slow, but not silent for longer than this, nor slower than so many bytes a second once it
-/// has come for a while: a byte now and then would hold its place for good.
-const SILENT: Duration = Duration::from_millis(2600);
+/// A body may be slow, but not silent ([`CLIENT_SILENT`]), nor slower than so many bytes a second once it has
+/// come for a while: a byte now and then would hold its place for good.
 const SLOW_FOR: Duration = Duration::from_secs(5);
 const SLOWEST: u64 = 16 << 10;
 /// A client that takes nothing of an answer that is streamed to it for this long is held for gone: at 64 kB
@@ -116,7 +115,7 @@
             Stand::New | Stand::Asking => Some(self.since.get() + WHOLE),
             Stand::Giving => {
                 let paid = Duration::from_millis(self.came.get() * 1000 / SLOWEST);
-                Some((self.since.get() + SILENT).min(self.began.get() + SLOW_FOR + paid))
+                Some((self.since.get() + CLIENT_SILENT).min(self.began.get() + SLOW_FOR + paid))
             }
             Stand::Taking => Some(self.since.get() + UNREAD),
             Stand::Quiet => Some(self.since.get() + QUIET),
