Cold backends' credit from a mean invocation; what is asked about is no evidence of a surge

Cause: rules.rs listed() let each gateway owe a fresh backend up to the largest invocation (8 units); a hundredth of a backend's flow pays that in 130 s. Now up to a mean one, the mean begins at the geometric middle, and three quarters of the budget are used: credit and the lot each halve what goes there. Cause: arrived() counted an invocation as evidence of its customer's pace before its own verdict; at a share of 1/75 one looked like a flood. Now it is counted once decided. Actions carry why they turn away; the gateway writes an account a second at debug.

--- a/crates/adapter/src/translate.rs
+++ b/crates/adapter/src/translate.rs
@@ -167,7 +167,7 @@
             Output::Place { gateway_id, msg_id: inv.0, backend: tgt.0, timeout_ns: timeout.map(to_ns) }
         }
         Action::Cancel { inv, no } => Output::Abandon { gateway_id, msg_id: inv.0, r#try: no.0 },
-        Action::Throttle { inv, retry_after } => {
+        Action::Throttle { inv, retry_after, .. } => {
             Output::PushBack { gateway_id, msg_id: inv.0, stay_away_ns: retry_after.map(to_ns) }
         }
         Action::Error { inv } => Output::GiveUp { gateway_id, msg_id: inv.0 },
--- /dev/null
+++ b/crates/gateway/src/account.rs
@@ -0,0 +1,103 @@
+//! The account: what this gateway did in each second, by reason, as one log line a second at `debug`.
+//!
+//! `damsonbeam account` adds up the lines of all gateways (docs/operations/fleet.md): what is harmless in
+//! one shows only in the sum. Where the level is off nothing is kept.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use damsonbeam::interface::*;
+use serde_json::{Map, Value};
+
+/// The form of a line; a reader refuses those that it does not know.
+pub const VERSION: u64 = 1;
+
+pub struct Account {
+    second: u64,
+    counts: BTreeMap<String, u64>,
+    cold_for: Duration,
+    since: BTreeMap<TgtId, Duration>,
+}
+
+impl Account {
+    /// None where nobody reads it.
+    pub fn new(cold_for: Duration) -> Option<Self> {
+        tracing::enabled!(tracing::Level::DEBUG).then(|| Account {
+            second: 0,
+            counts: BTreeMap::new(),
+            cold_for,
+            since: BTreeMap::new(),
+        })
+    }
+
+    pub fn add(&mut self, now: Duration, what: &str, n: u64) {
+        self.turn(now);
+        *self.counts.entry(what.to_owned()).or_default() += n;
+    }
+
+    /// A second that is over is written down.
+    pub fn turn(&mut self, now: Duration) {
+        if self.second == now.as_secs() {
+            return;
+        }
+        if !self.counts.is_empty() {
+            let counts: Map<String, Value> =
+                std::mem::take(&mut self.counts).into_iter().map(|(k, n)| (k, n.into())).collect();
+            let counts = Value::Object(counts);
+            tracing::debug!(code = "account", version = VERSION, second = self.second, %counts, "");
+        }
+        self.second = now.as_secs();
+    }
+
+    pub fn event(&mut self, now: Duration, event: &Event) {
+        match event {
+            Event::Invocation(i) => self.add(now, if i.repeat { "came.repeat" } else { "came.first" }, 1),
+            Event::Targets { form, entries } => {
+                if matches!(form, ListForm::Replace | ListForm::Restored) {
+                    self.since.clear();
+                }
+                self.since.extend(entries.iter().map(|e| (e.tgt, e.since)));
+                self.add(now, "list.pages", 1);
+                self.add(now, "list.entries", entries.len() as u64);
+            }
+            Event::Outcome { inv, no, tgt, outcome, latency, .. } => {
+                let ms = latency.as_millis() as u64;
+                let state = self.state(now, *tgt);
+                tracing::trace!(code = "delivery", inv = inv.0, no = no.0, tgt = tgt.0, state, outcome = ?outcome, ms, at = now.as_millis() as u64);
+                let name = format!("ended.{}.{outcome:?}", self.state(now, *tgt));
+                self.add(now, &name, 1);
+                self.add(now, "ended.ms", latency.as_millis() as u64);
+            }
+            Event::Total { outcome, latency, .. } => {
+                self.add(now, &format!("counter.{outcome:?}"), 1);
+                self.add(now, "counter.ms", latency.as_millis() as u64);
+            }
+            Event::Peer { .. } => self.add(now, "peers.heard", 1),
+            _ => {}
+        }
+    }
+
+    pub fn action(&mut self, now: Duration, action: &Action) {
+        match action {
+            Action::Throttle { why, .. } => self.add(now, &format!("turned.{}", why.name()), 1),
+            Action::Error { .. } => self.add(now, "errored", 1),
+            Action::Deliver { tgt, .. } => {
+                let name = format!("sent.{}", self.state(now, *tgt));
+                self.add(now, &name, 1);
+            }
+            Action::Count { add, .. } => {
+                self.add(now, if *add == 0.0 { "asked.read" } else { "asked.add" }, 1);
+            }
+            Action::Tell { .. } => self.add(now, "peers.told", 1),
+            _ => {}
+        }
+    }
+
+    fn state(&self, now: Duration, tgt: TgtId) -> &'static str {
+        match self.since.get(&tgt) {
+            None => "gone",
+            Some(since) if !since.is_zero() && now < *since + self.cold_for => "cold",
+            Some(_) => "warm",
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! that owns the rules, `life` the phases from start to exit;
 //! it alone wires the actors.
 
+pub mod account;
 pub mod backends;
 pub mod bodies;
 pub mod clients;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -20,6 +20,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout, timeout_at};
 
+use crate::account::Account;
 use crate::backends::{Backend, Fleet};
 use crate::clients::Clients;
 use crate::clock::Clock;
@@ -346,6 +347,7 @@
             witness,
             state: State::default(),
             figures: figures.clone(),
+            account: Account::new(settings.cold_for),
             shown: config.admin.is_some(),
             carry: None,
         };
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep_until;
 
+use crate::account::Account;
 use crate::clock::Clock;
 use crate::log::log;
 use crate::mail::*;
@@ -63,6 +64,7 @@
     pub witness: Option<(Witness, Vec<GatewayId>)>,
     pub state: State,
     pub figures: Figures,
+    pub account: Option<Account>,
     /// Whether somebody may ask for the figures.
     pub shown: bool,
     /// Who waits for what the rules hand over.
@@ -276,7 +278,10 @@
     pub fn feed(&mut self, event: Event) {
         let mut event = Some(event);
         while let Some(now) = event.take() {
-            for action in self.rules.on(self.clock.now(), now) {
+            let at = self.clock.now();
+            self.account.iter_mut().for_each(|a| a.event(at, &now));
+            for action in self.rules.on(at, now) {
+                self.account.iter_mut().for_each(|a| a.action(at, &action));
                 self.carry_out(action);
             }
             event = self.state.next.pop_front();
@@ -293,7 +298,7 @@
                     self.tidy(inv);
                 }
             }
-            Action::Throttle { inv, retry_after } => {
+            Action::Throttle { inv, retry_after, why: _ } => {
                 let sent = self.state.held.get(&inv).is_some_and(|h| !h.deliveries.is_empty());
                 let when = if sent { "after_delivery" } else { "before_delivery" };
                 self.figures.turned_away.with_label_values(&[when]).inc();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -280,11 +280,45 @@
     },
 }
 
+/// Why an invocation is turned away, for staff and their figures.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Why {
+    /// The window's sum is over the quota.
+    Quota,
+    /// A window that is known to be full: no call was made.
+    Full,
+    /// The line before it is too long, or answers take too long.
+    Line,
+    /// It stood in line until it could not be answered in time.
+    Waited,
+    /// Its client's time is up.
+    Time,
+    /// The hard ceiling's store is empty.
+    Ceiling,
+    /// Its deliveries failed and no other can be of use.
+    GaveUp,
+}
+
+impl Why {
+    /// As figures and logs name it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Quota => "quota",
+            Self::Full => "full",
+            Self::Line => "line",
+            Self::Waited => "waited",
+            Self::Time => "time",
+            Self::Ceiling => "ceiling",
+            Self::GaveUp => "gave_up",
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     Deliver { inv: InvId, tgt: TgtId, timeout: Option<Duration> },
     Cancel { inv: InvId, no: DeliveryNo },
-    Throttle { inv: InvId, retry_after: Option<Duration> },
+    Throttle { inv: InvId, retry_after: Option<Duration>, why: Why },
     Error { inv: InvId },
     Timer { after: Duration, token: String },
     Count { name: String, add: f64, keep: Duration },
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -88,7 +88,7 @@
 /// Answers that the usual time weighs beside those measured.
 const USUAL_WEIGHT: f64 = 3.0;
 /// Part of the budget for a cold backend that this gateway's part may use: work sizes vary by chance.
-const COLD_PART: f64 = 0.5;
+const COLD_PART: f64 = 0.75;
 /// Units that a cold backend gets from all gateways in a span of its budget where no warm one tells its flow.
 const COLD_LEAST: f64 = 2.0;
 /// Span over which the flow to warm backends is taken: long against chance, short against load's swing.
@@ -131,7 +131,7 @@
     places: f64,
     /// Answers' times by operation.
     lat: Vec<Hist>,
-    /// Mean worth and units of an invocation of late.
+    /// Mean worth and units of an invocation of late; at first the geometric middle, for few are large.
     worth: f64,
     units: f64,
     /// Seconds that a delivery stays out, of late.
@@ -164,7 +164,7 @@
             places: PLACES_START,
             lat: set.operations.iter().map(|_| Hist::default()).collect(),
             worth: 0.0,
-            units: (1.0 + set.most_units) / 2.0,
+            units: set.most_units.max(1.0).sqrt(),
             stay: set.operations.iter().map(|o| o.latency_objective.as_secs_f64() / 8.0).fold(1.0, f64::min),
             usual: vec![[(USUAL_FIRST, 1.0); 2]; set.plans.len()],
             copies: 0.0,
@@ -266,7 +266,6 @@
             self.units += (units - self.units) / USUAL_OVER;
             let slot = (self.now.as_secs_f64() / len) as u64;
             let part = if inside && !self.yielded { 1.0 / f64::from(spread) } else { 0.0 };
-            let lived = (self.now - self.began).as_secs_f64();
             let c = self.customers.entry(customer.clone()).or_insert_with(|| Customer {
                 plan,
                 cut,
@@ -275,7 +274,7 @@
                 oldest: slot.saturating_sub(2 * cut),
                 learned: slot,
                 // A restart must not hand out the ceiling's store again: a life earns its part from nothing.
-                ceiling: (p.ceiling_rate * lived).min(p.ceiling_burst) * part,
+                ceiling: (p.ceiling_rate * (self.now - self.began).as_secs_f64()).min(p.ceiling_burst) * part,
                 ceiling_at: self.now,
                 ..Customer::default()
             });
@@ -290,16 +289,13 @@
             return self.enqueue(id);
         }
         self.roll(&customer);
-        let c = self.customers.get_mut(&customer).expect("made above");
-        // A client's next try asks for nothing more; where it isn't flagged, refusals show as a surge.
-        c.slots.entry(self.invs[&id].slot).or_default().came += if again { 0.0 } else { units };
-        // Known to be full, or no room in the line: refused early, without calls that are then undone.
+        // Known full, or no room in the line: refused early, without calls that are then undone.
         let (c, burst) = (&self.customers[&customer], self.burst(plan));
         let told = c.slots.get(&self.invs[&id].slot).map_or(Duration::ZERO, |s| s.told);
-        let full_for = if self.open(plan) { Duration::from_secs_f64(self.stay) } else { FULL_FOR };
-        let known = self.ask < ASK_READS || self.now < told + full_for;
-        if known && self.sum(c, 0.0) + units > burst + EPS || self.pressed(id) {
-            return self.throttle(id);
+        let hold = if self.open(plan) { Duration::from_secs_f64(self.stay) } else { FULL_FOR };
+        let full = self.sum(c, 0.0) + units > burst + EPS && (self.ask < ASK_READS || self.now < told + hold);
+        if full || self.pressed(id) {
+            return self.throttle(id, if full { Why::Full } else { Why::Line });
         }
         let near = (self.sum(c, self.pace(c, again)) + units) / burst;
         // And those first for which a wrong verdict costs most.
@@ -370,7 +366,7 @@
         for k in slot - gone..slot {
             let s = c.slots.get(&k).unwrap_or(&none);
             let told = s.part(k, len, 1.0);
-            c.units = c.units * fade + s.own.max(s.came) + s.others;
+            c.units = c.units * fade + s.own + s.came + s.others;
             c.span = c.span * fade + told + share * (1.0 - told);
             if told > 0.0 {
                 c.own_seen = c.own_seen * fade + s.own;
@@ -423,7 +419,7 @@
         let (at, none) = (self.now.as_secs_f64() / c.len, Slot::default());
         let s = c.slots.get(&(at as u64)).unwrap_or(&none);
         let told = s.part(at as u64, c.len, at.fract());
-        let units = weight + c.units + s.own.max(s.came) + s.others;
+        let units = weight + c.units + s.own + s.came + s.others;
         let slots = weight / (usual * rate) + c.span + told + c.share(burst) * (at.fract() - told);
         (units / slots).min(PACE_MOST * rate)
     }
@@ -513,11 +509,10 @@
     fn verdict(&mut self, id: InvId, answered: bool) {
         let inv = &self.invs[&id];
         let (customer, units, plan, slot) = (inv.customer.clone(), inv.draws, inv.plan, inv.slot);
-        let again = inv.repeat;
         self.roll(&customer);
         let c = &self.customers[&customer];
         let (burst, known) = (self.burst(plan), self.sum(c, 0.0) + units);
-        let sum = self.sum(c, self.pace(c, again)) + units;
+        let sum = self.sum(c, self.pace(c, self.invs[&id].repeat)) + units;
         // Of the slot before, what was out at its end is over soon.
         let over = self.open(plan) && self.now.as_secs_f64() - slot as f64 * c.len > self.stay;
         if answered && !over && self.ask >= ASK_READS && sum > UNREAD_UP_TO * burst {
@@ -537,7 +532,7 @@
         let p = &self.set.plans[plan.0];
         let slack = GUESS_SLACK * (1.0 / (p.over_cost - p.over_value).max(GUESS_SLACK) - 1.0);
         if sum > burst + EPS + slack * (sum - known) {
-            return self.throttle(id);
+            return self.throttle(id, Why::Quota);
         }
         let c = self.customers.get_mut(&customer).expect("has an invocation");
         let (s, inv) = (c.slots.entry(slot).or_default(), self.invs.get_mut(&id).expect("held"));
@@ -651,7 +646,7 @@
         inv.deadline.saturating_sub(self.set.tick.max(Duration::from_millis(1)))
     }
 
-    fn throttle(&mut self, id: InvId) {
+    fn throttle(&mut self, id: InvId, why: Why) {
         let inv = &self.invs[&id];
         if !self.may_throttle(inv) {
             self.out.push(Action::Error { inv: id });
@@ -663,7 +658,7 @@
                 let over = c.map_or(0.0, |(p, c)| (self.sum(c, pace(c)) + inv.units - p.burst) / p.rate);
                 Duration::from_secs_f64(over.max(self.expect(0.5, inv.op))).min(most)
             });
-            self.out.push(Action::Throttle { inv: id, retry_after });
+            self.out.push(Action::Throttle { inv: id, retry_after, why });
         }
         self.forget(id);
     }
@@ -681,6 +676,10 @@
         if let Some(c) = self.customers.get_mut(&inv.customer) {
             (c.held, c.used_at) = (c.held - 1, self.now);
             c.out -= inv.deliveries.iter().filter(|d| d.out).count() as u32;
+            // Counted once decided, or it would be evidence against itself; a repeat asks for nothing more.
+            if !inv.admitted && !inv.repeat && inv.slot >= c.oldest {
+                c.slots.entry(inv.slot).or_default().came += inv.draws;
+            }
         }
     }
 
@@ -768,7 +767,8 @@
     }
 
     fn enqueue(&mut self, id: InvId) {
-        if self.pressed(id) { self.throttle(id) } else { self.stand(id, self.objective(&self.invs[&id])) }
+        let until = self.objective(&self.invs[&id]);
+        if self.pressed(id) { self.throttle(id, Why::Line) } else { self.stand(id, until) }
     }
 
     /// Stands in line until it could not be answered by `until` any more.
@@ -880,7 +880,7 @@
             let earned = p.ceiling_rate * c.part * (self.now - c.ceiling_at).as_secs_f64();
             (c.ceiling, c.ceiling_at) = ((c.ceiling + earned).min(p.ceiling_burst * c.part), self.now);
             if c.ceiling < units {
-                return self.throttle(id);
+                return self.throttle(id, Why::Ceiling);
             }
             c.ceiling -= units;
         }
@@ -979,7 +979,7 @@
         let until = if late { inv.deadline } else { self.objective(inv) };
         let left = until.saturating_sub(self.now).as_secs_f64();
         let can = self.tgts.values().any(|t| self.may_deliver(inv, t)) && left > self.expect(0.5, inv.op);
-        if can { self.stand(id, until) } else { self.throttle(id) }
+        if can { self.stand(id, until) } else { self.throttle(id, Why::GaveUp) }
     }
 
     /// A stream that began belongs to the client: no time runs, nothing more is sent.
@@ -1007,7 +1007,8 @@
             }
             self.due.pop_first();
             match due {
-                Due::Final(id) | Due::Objective(id, _) if live => self.throttle(id),
+                Due::Final(id) if live => self.throttle(id, Why::Time),
+                Due::Objective(id, _) if live => self.throttle(id, Why::Waited),
                 Due::Copy(id) if live => self.copy(id),
                 Due::Overdue(id, no) if live => {
                     self.silent(self.invs[&id].deliveries[no].tgt, self.invs[&id].op)
@@ -1051,7 +1052,7 @@
             }
             if t.credit_at.is_zero() || t.entry.since != e.since {
                 // A new process: nothing measured of the last one holds.
-                let credit = -self.set.most_units.max(1.0) * self.rng.random::<f64>();
+                let credit = -self.units * self.rng.random::<f64>();
                 *t = Tgt { out: t.out, credit, credit_at: self.now, ..Tgt::default() };
             }
             t.entry = e.clone();
--- a/src/state.rs
+++ b/src/state.rs
@@ -14,7 +14,7 @@
     /// Units admitted here, and those whose add is not answered yet.
     pub(crate) own: f64,
     pub(crate) asking: f64,
-    /// Units asked for here, refused ones too: they show a surge that what is admitted does not.
+    /// Units asked for here and refused: they show a surge that what is admitted does not.
     pub(crate) came: f64,
     /// Own units that the counter is believed to hold.
     pub(crate) put: f64,
--- a/tests/rules/decisions.rs
+++ b/tests/rules/decisions.rs
@@ -125,13 +125,13 @@
 fn calls_that_fail_together_slow_the_asking_once_and_a_spoilt_total_does_not() {
     for (fails, least) in [(Outcome::TimedOut, 25), (Outcome::Failed, 100)] {
         let mut rules = ready(settings(Repeat::Idempotent), 4);
-        let mut ask = |n: u64, now| counts(&rules.on(now, arrival(n, now, &format!("c{n}"), 1.0)));
+        let mut ask = |n: u64, now| counts(&rules.on(now, arrival(n, now, &format!("c{n}"), 3.0)));
         let out: Vec<_> = (0..20).flat_map(|n| ask(n, ms(1000))).collect();
         assert_eq!(out.len(), 20);
         for (name, _) in out {
             rules.on(ms(1030), no_total(&name, fails));
         }
-        let asks = |n: u64| counts(&rules.on(ms(1031), arrival(n, ms(1031), &format!("c{n}"), 1.0))).len();
+        let asks = |n: u64| counts(&rules.on(ms(1031), arrival(n, ms(1031), &format!("c{n}"), 3.0))).len();
         let asked: usize = (100..200).map(asks).sum();
         assert!(asked >= least, "{asked} of 100 after {fails:?}");
     }
--- /dev/null
+++ b/tests/rules/fleet.rs
@@ -0,0 +1,93 @@
+//! Many gateways at once, each an instance of the module: what one does alone adds up.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::common::*;
+use damsonbeam::Rules;
+use damsonbeam::interface::*;
+
+/// Units that each backend gets from `n` gateways, each with an invocation of one unit every `every`; answers
+/// take 50 ms.
+fn drive(gateways: &mut [Rules], from: Duration, to: Duration, every: Duration) -> BTreeMap<TgtId, f64> {
+    let n = gateways.len() as u32;
+    let mut got = BTreeMap::new();
+    let mut out: BTreeMap<(Duration, usize, u64), TgtId> = BTreeMap::new();
+    let mut now = from;
+    let mut next = (from.as_millis() as u64) << 20;
+    while now < to {
+        for (g, rules) in gateways.iter_mut().enumerate() {
+            let due: Vec<_> = out.range((from, g, 0)..).map(|(k, t)| (*k, *t)).collect();
+            for (key, tgt) in due.into_iter().filter(|(k, _)| k.1 == g && k.0 <= now) {
+                out.remove(&key);
+                let Event::Outcome { inv, no, tgt, outcome, closed, .. } =
+                    outcome(key.2, 0, tgt, Outcome::Ok, true)
+                else {
+                    unreachable!()
+                };
+                let latency = ms(50);
+                let (used, true_units, report) = (None, None, Vec::new());
+                rules.on(
+                    now,
+                    Event::Outcome { inv, no, tgt, outcome, latency, closed, used, true_units, report },
+                );
+            }
+            let turn = (now - from).as_millis() as u64 / 10 % (every.as_millis() as u64 / 10);
+            if turn == g as u64 % (every.as_millis() as u64 / 10) {
+                next += 1;
+                for tgt in delivered(&rules.on(now, arrival(next, now, "a", 1.0))) {
+                    *got.entry(tgt).or_insert(0.0) += 1.0;
+                    out.insert((now + ms(50), g, next), tgt);
+                }
+            }
+        }
+        now += ms(10);
+    }
+    assert!(n > 0 && !got.is_empty());
+    got
+}
+
+/// Each of many gateways has a small part of a cold backend's budget, and began by owing the largest
+/// invocation there is: none was paid off before the backend was warm, while the warm ones drowned (join+vast).
+#[test]
+fn many_gateways_give_cold_backends_their_part_and_no_more() {
+    let mut set = settings(Repeat::Idempotent);
+    set.plans[0] = Plan::default();
+    (set.gateways, set.most_units) = (100, 8.0);
+    let begin = ms(100_000);
+    let mut gateways: Vec<_> = (0..100).map(|seed| Rules::new(seed, set.clone(), begin)).collect();
+    let warm = (0..8).map(|t| entry(t, Health::Up, Duration::ZERO));
+    let all: Vec<_> = warm.chain([entry(8, Health::Up, begin + ms(5000))]).collect();
+    for g in &mut gateways {
+        g.on(begin, list(ListForm::Restored, all[..8].to_vec()));
+    }
+    drive(&mut gateways, begin, begin + ms(5000), ms(200));
+    for g in &mut gateways {
+        g.on(begin + ms(5000), list(ListForm::Update, all[8..].to_vec()));
+    }
+    let got = drive(&mut gateways, begin + ms(5000), begin + ms(8000), ms(200));
+    let usual = (0..8).map(|t| got[&TgtId(t)]).sum::<f64>() / 8.0;
+    // Its capacity rises from a fifth to under a half in these 3 s; the rule allows twice of it.
+    let cold = got.get(&TgtId(8)).copied().unwrap_or_default() / usual;
+    assert!(cold > 0.05, "{cold} of a warm one's work");
+    assert!(cold < 0.5, "{cold} of a warm one's work");
+}
+
+/// What is asked about is no evidence against itself: of hundreds of gateways each meets a customer seldom,
+/// and took its one large invocation for a hundredth of a flood (zone+vast).
+#[test]
+fn a_first_invocation_is_not_taken_for_a_surge() {
+    let mut set = settings(Repeat::Idempotent);
+    (set.gateways, set.counter, set.most_units) = (100, None, 8.0);
+    set.plans[0].burst = 16.0;
+    let mut rules = ready(set, 4);
+    let Event::Invocation(new) = arrival(1, ms(1000), "a", 4.0) else { unreachable!() };
+    let actions = rules.on(ms(1000), Event::Invocation(Invocation { spread: 90, ..new }));
+    assert!(!throttled(&actions), "a quarter of the burst, of a customer taken to use half of its rate");
+    // Turned away again and again, it shows a surge.
+    let more = (2..40).map(|n| {
+        let Event::Invocation(new) = arrival(n, ms(1000 + n), "a", 4.0) else { unreachable!() };
+        throttled(&rules.on(ms(1000 + n), Event::Invocation(Invocation { spread: 90, ..new })))
+    });
+    assert!(more.filter(|t| *t).count() >= 34, "a surge is held to the burst");
+}
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -2,4 +2,5 @@
 
 mod common;
 mod decisions;
+mod fleet;
 mod model;
