Gateways ask discovery by turns, with one call for a subscription, and wait for its answer

Excluded: slow connects (refused at once), the watch itself (no list, so no watch). Causes: rules.rs WATCH_AGAIN, all gateways again every 0.5 s; list.rs PROMPT gave up after 1 s, so what discovery had worked for was dropped and asked for anew; and a whole list before the subscription made each start two calls. Now a subscription is asked for within 50 ms times the gateways by chance, is one call from the revision known, and is waited for 2.5 s.

--- a/crates/cli/tests/sockets/main.rs
+++ b/crates/cli/tests/sockets/main.rs
@@ -481,6 +481,36 @@
     }
 }
 
+/// Found with a hundred gateways: a whole list and a subscription after it were two calls each, at a service
+/// that all call when they start; and one that gave up after a second was served for nothing.
+#[test]
+fn a_subscription_is_one_call_and_is_waited_for() {
+    let (old, new) = (serves("old"), serves("new"));
+    let (mut config, list) = config(&[], None);
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    config["discovery"] = json!(listener.local_addr().unwrap());
+    config["known"] = page(41, true, vec![member("s-1", old.at, "active")]);
+    config["settings"]["discovery"] = json!("subscribe");
+    let (to, calls) = channel();
+    let changes = page(42, true, vec![member("s-2", new.at, "active")]).to_string();
+    std::thread::spawn(move || {
+        for socket in listener.incoming().map_while(Result::ok) {
+            let (mut out, mut from) = (socket.try_clone().unwrap(), std::io::BufReader::new(socket));
+            while let Some(call) = Message::read(&mut from) {
+                to.send(call.first).unwrap_or(());
+                // Its turn comes late.
+                std::thread::sleep(Duration::from_millis(1500));
+                out.write_all(answer("200 OK", &changes).as_bytes()).unwrap_or(());
+            }
+        }
+    });
+    let gateway = start(&config, list);
+    assert_eq!(ask(gateway.at, &request("/tile", "")).body, b"old", "it begins with what it knows");
+    assert!(wait(&calls).contains("from=41&"), "one call for all that was missed");
+    until(|| ask(gateway.at, &request("/tile", "")).body == b"new");
+    assert!(wait(&calls).contains("from=42&"), "the first was not given up");
+}
+
 /// Failure found on one core: up before the list came, it throttled the first invocations.
 #[test]
 fn up_only_with_a_list_of_backends() {
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -330,6 +330,7 @@
         let mut numbers = Numbers::new(facts.dcs, facts.kinds);
         let some = !known.members.is_empty();
         let shelf = Rc::new(RefCell::new(known.clone()));
+        let revision = known.revision;
         let known = numbers.listed(known, ListForm::Restored);
         let (to_list, list_mailbox) = mpsc::channel(PEER_ROOM);
         let (first, listed) = oneshot::channel();
@@ -357,6 +358,7 @@
             at: places.discovery,
             numbers,
             mode,
+            known: revision,
             shelf: shelf.clone(),
             module: to_module.clone(),
             mailbox: list_mailbox,
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -22,11 +22,11 @@
 use crate::mail::*;
 
 /// How long a watch may wait, and what is given it beyond before it is held for lost. A watch that fell
-/// silent looks like one with nothing to tell: for so long work goes to backends that are gone.
+/// silent looks like one with nothing to tell: for so long work goes to backends that are gone. A call for
+/// the whole list is given as long: where a whole fleet asks at once each waits its turn, and those that
+/// give up sooner are served for nothing and come again, so that nobody ever has a list.
 const HOLD: Duration = Duration::from_secs(2);
 const BEYOND: Duration = Duration::from_millis(500);
-/// A call that need not wait is answered at once, or not at all.
-const PROMPT: Duration = Duration::from_secs(1);
 /// After a failed call: within the 200 ms in which a watch continues.
 const AGAIN: Duration = Duration::from_millis(100);
 const BYTES: usize = 4 << 20;
@@ -143,6 +143,8 @@
     pub at: SocketAddr,
     pub numbers: Numbers,
     pub mode: Discovery,
+    /// The revision that this life began with.
+    pub known: u64,
     /// The whole list as it stands, for a process that follows this one.
     pub shelf: Rc<RefCell<Page>>,
     pub module: mpsc::Sender<ToModule>,
@@ -155,7 +157,9 @@
     pub async fn run(mut self) {
         let mut watching = self.mode == Discovery::Pushed;
         let mut link: Option<SendRequest<Empty<Bytes>>> = None;
-        let mut from: Option<u64> = None;
+        // A subscription is one call, and brings what was missed: a whole list before it would be two, at a
+        // service that all gateways call when they start.
+        let mut from = (self.mode == Discovery::Subscribed).then_some(self.known);
         loop {
             if !watching {
                 match self.mailbox.recv().await {
@@ -163,21 +167,20 @@
                     Some(ToList::Watch { on }) => watching = on,
                     Some(ToList::Fetch) => {}
                     Some(ToList::Move(at)) => {
-                        (self.at, link) = (at, None);
+                        (self.at, link, from) = (at, None, None);
                         continue;
                     }
                 }
-                from = None;
             }
-            let (path, patience) = match from {
-                None => ("/discovery/hosts".to_owned(), PROMPT),
+            let path = match from {
+                None => "/discovery/hosts".to_owned(),
                 Some(v) => {
                     let hold = HOLD.as_millis();
-                    (format!("/discovery/hosts?from={v}&hold_ms={hold}"), HOLD + BEYOND)
+                    format!("/discovery/hosts?from={v}&hold_ms={hold}")
                 }
             };
             let mut moved = None;
-            let mut call = Box::pin(timeout(patience, get(&mut link, self.at, &path)));
+            let mut call = Box::pin(timeout(HOLD + BEYOND, get(&mut link, self.at, &path)));
             let answer = loop {
                 tokio::select! {
                     answer = &mut call => break Some(answer),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -95,8 +95,9 @@
 const FLOW_SPAN: Duration = Duration::from_secs(4);
 /// While work waits in line, it is looked through at least this often: blocked backends come free by time.
 const LOOK: Duration = Duration::from_millis(20);
-/// A subscription that failed is asked for again after this: discovery is one service for all.
-const WATCH_AGAIN: Duration = Duration::from_millis(500);
+/// A subscription is asked for within about this times the gateways: discovery is one for all, and works on
+/// calls that came too many at a time till each is too late. What begins with no list at all can't wait.
+const WATCH_EACH: Duration = Duration::from_millis(50);
 /// Samples at which a histogram is halved: a backend's follows its last dozen answers, the fleet's hundreds.
 const TGT_SAMPLES: f64 = 16.0;
 const FLEET_SAMPLES: f64 = 400.0;
@@ -1036,11 +1037,13 @@
     }
 
     fn listed(&mut self, form: ListForm, entries: &[Entry]) {
-        if form == ListForm::Unavailable {
-            self.due.insert((self.now + WATCH_AGAIN, Due::Watch));
-            return;
+        let failed = form == ListForm::Unavailable;
+        if failed || form == ListForm::Restored && self.set.discovery == Discovery::Subscribed {
+            let wait = WATCH_EACH * self.set.gateways * u32::from(failed || !entries.is_empty());
+            let part = self.rng.random::<f64>() + f64::from(failed) / 2.0;
+            self.due.insert((self.now + wait.mul_f64(part), Due::Watch));
         }
-        if form != ListForm::Update {
+        if form != ListForm::Update && !failed {
             // Absent from a whole list is gone.
             self.tgts.values_mut().for_each(|t| t.entry.health = Health::Gone);
         }
@@ -1059,9 +1062,6 @@
         }
         let used = |t: &Tgt| t.out > 0 || t.credit_at + self.set.overload_for > self.now;
         self.tgts.retain(|_, t| t.entry.health != Health::Gone || used(t));
-        if form == ListForm::Restored && self.set.discovery == Discovery::Subscribed {
-            self.out.push(Action::Watch { on: true });
-        }
     }
 
     /// Backends listed, and those of them that are avoided now.
--- a/tests/rules/fleet.rs
+++ b/tests/rules/fleet.rs
@@ -91,3 +91,32 @@
     });
     assert!(more.filter(|t| *t).count() >= 34, "a surge is held to the burst");
 }
+
+/// After a release all gateways asked discovery at once and again at once: it worked on calls that were too
+/// late by the time, nobody had a list, and 13,000 deliveries went to backends that were gone (herd+vast).
+#[test]
+fn gateways_that_begin_at_once_ask_discovery_by_turns() {
+    let mut set = settings(Repeat::Idempotent);
+    (set.gateways, set.discovery) = (100, Discovery::Subscribed);
+    let asks = |actions: Vec<Action>| actions.iter().any(|a| matches!(a, Action::Watch { on: true }));
+    let mut calls = [0; 90];
+    for seed in 0..100 {
+        let mut rules = Rules::new(seed, set.clone(), ms(1000));
+        let mut asked = asks(rules.on(ms(1000), list(ListForm::Restored, vec![entry(0, Health::Up, ms(0))])));
+        for n in 0..90 {
+            let now = ms(1000 + 100 * n);
+            asked |= asks(rules.on(now, Event::Timer { token: "due".into() }));
+            if asked {
+                calls[n as usize] += 1;
+                // The first call of each is turned away.
+                let failed = list(ListForm::Unavailable, vec![]);
+                asked = n < 50 && asks(rules.on(now, failed));
+            }
+        }
+    }
+    assert!(calls.iter().all(|n| *n <= 10), "at most a tenth of them in a tenth of a second: {calls:?}");
+    assert!(calls[..51].iter().sum::<i32>() >= 100, "each has asked within 5 s: {calls:?}");
+    // One with no list at all can't wait.
+    let mut rules = Rules::new(1, set, ms(1000));
+    assert!(asks(rules.on(ms(1000), list(ListForm::Restored, vec![]))));
+}
