Errors and long deliveries are told to the other gateways, and passed over by all

Seen (join+vast, deliveries by backend): of 60 backends those that answer errors at once drew more than others (48 of 59 failed), 533 of 11,160 deliveries in all; warm ones stood at 0.3 to 3.6 s beside each other, and a gateway meets each once in 20 s. Excluded: connects (1 failed), the list, the counter. Cause: rules.rs ended() learned nothing of an error, and deliver() held a delivery overdue only after the whole objective. Now an error, or four times the mean, is told in the six bytes there are.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -95,8 +95,7 @@
 const FLOW_SPAN: Duration = Duration::from_secs(4);
 /// While work waits in line, it is looked through at least this often: blocked backends come free by time.
 const LOOK: Duration = Duration::from_millis(20);
-/// A subscription is asked for within about this times the gateways: discovery is one for all, and works on
-/// calls that came too many at a time till each is too late. What begins with no list at all can't wait.
+/// A subscription is asked for within about this times the gateways: all at once, and discovery serves none.
 const WATCH_EACH: Duration = Duration::from_millis(50);
 /// Samples at which a histogram is halved: a backend's follows its last dozen answers, the fleet's hundreds.
 const TGT_SAMPLES: f64 = 16.0;
@@ -104,8 +103,9 @@
 /// Answer times' lowest bin in seconds, and bins: each is half an octave up, the last takes the rest.
 pub(crate) const BIN_FIRST: f64 = 0.004;
 pub(crate) const BINS: usize = 24;
-/// An overdue delivery moves its operation's part unanswered this far to all; it halves in this, for nothing
-/// else tells of a backend that is passed over.
+/// A delivery takes too long beyond this many times the mean: one gateway among many meets few that do.
+const LONG: f64 = 4.0;
+/// It moves its operation's part unanswered this far to all; halved in this, for nothing else tells of it.
 const SILENT_STEP: f64 = 0.5;
 const SILENT_HALF: f64 = 5.0;
 /// Deliveries out are whole and estimates of them are not: so far above a cap is not over it.
@@ -238,9 +238,8 @@
         self.set.plans.get(plan.0).is_some_and(|p| p.rate > 0.0 && p.burst > 0.0 || p.max_out > 0.0)
     }
 
-    /// Whether a plan's only quota is a cap on deliveries out at once. It is counted as a rate is, but in
-    /// slots as long as any delivery stays out, and each that ends takes its one off again: two slots hold
-    /// all that is out, and what a killed gateway never took off is forgotten with its slot.
+    /// Whether a plan's only quota is a cap on deliveries out at once: counted as a rate, in slots as long as
+    /// any stays out, each taking its one off at its end; a killed gateway's are forgotten with their slot.
     fn open(&self, plan: PlanId) -> bool {
         self.set.plans.get(plan.0).is_some_and(|p| p.rate == 0.0 && p.max_out > 0.0)
     }
@@ -407,7 +406,7 @@
         *u = (u.0 - u.0 / USUAL_OVER + used, u.1 - u.1 / USUAL_OVER + run);
     }
 
-    /// Units a slot that come in at all gateways, by what was seen of late and by the usual.
+    /// Units a slot that come in at all gateways, by what was seen and the usual; unasked, an arrival tells too.
     fn pace(&self, c: &Customer, again: bool) -> f64 {
         let (p, (seen, span)) = (&self.set.plans[c.plan.0], self.usual[c.plan.0][usize::from(again)]);
         let (burst, rate) = (p.burst, p.rate * c.len);
@@ -420,7 +419,7 @@
         let (at, none) = (self.now.as_secs_f64() / c.len, Slot::default());
         let s = c.slots.get(&(at as u64)).unwrap_or(&none);
         let told = s.part(at as u64, c.len, at.fract());
-        let units = weight + c.units + s.own + s.came + s.others;
+        let units = weight + c.units + s.own + s.came + s.others + (1.0 - self.ask).powi(2) * self.units;
         let slots = weight / (usual * rate) + c.span + told + c.share(burst) * (at.fract() - told);
         (units / slots).min(PACE_MOST * rate)
     }
@@ -474,8 +473,7 @@
         // A crowded counter works on calls that nobody waits for: follow its line, not only failures.
         let prompt = ok && latency < timeout.mul_f64(ASK_PROMPT);
         self.prompt = if prompt { self.prompt + 1.0 } else { 0.0 };
-        // Calls out together that fail are one failure, for a dead connection takes all of them along; one
-        // that was answered, though not to be read, is none. Else each break costs a second of guesses.
+        // Calls out together that fail are one failure: a dead connection takes all. A spoilt total is none.
         let falls = !ok && call.at >= self.fell && outcome != Outcome::Failed;
         self.fell = if falls { self.now } else { self.fell };
         let late = if ok { ASK_LATE } else { 1.0 };
@@ -684,7 +682,7 @@
         }
     }
 
-    /// No answer within the objective. A backend may be silent to one operation and serve the others. A
+    /// An error, or no answer for long. A backend may be silent to one operation and serve the others. A
     /// gateway among many meets a backend too seldom to find out alone: it tells the others what they lack.
     fn silent(&mut self, tgt: TgtId, op: OpId) {
         let known = self.tgts.get(&tgt).map_or(1.0, |t| t.unanswered(op, self.now));
@@ -815,9 +813,8 @@
             if f64::from(tgt.out) + 1.0 > (part * warm).max(1.0) {
                 continue;
             }
-            // Pushed over, it stays down: this gateway's part is earned by time, from a start by chance, so
-            // that hundreds with less than one delivery each neither send one all at once nor none.
-            // What is likely to stay unanswered is lost for good where it can't be sent again.
+            // Pushed over, it stays down: this gateway's part is earned by time, from a start by chance, so that
+            // hundreds neither send one at once nor none. What stays unanswered may be lost for good.
             let silent = ((tgt.unanswered(inv.op, self.now) - usually) / (1.0 - usually)).max(0.0);
             let sure = warm * (1.0 - silent);
             if warm < 1.0 && (self.yielded || self.credit(tgt, warm) < 0.0)
@@ -908,8 +905,8 @@
             self.due.insert((self.now + Duration::from_secs_f64(COPY_BY * left), Due::Copy(id)));
         }
         let (objective, no) = (self.set.operations[op.0].latency_objective, inv.deliveries.len() - 1);
-        let overdue = (self.now + objective, Due::Overdue(id, no));
-        self.due.extend((!self.invs[&id].coming).then_some(overdue));
+        let long = Duration::from_secs_f64(LONG * self.mean(op)).min(objective);
+        self.due.extend((!self.invs[&id].coming).then_some((self.now + long, Due::Overdue(id, no))));
         self.out.push(Action::Deliver { inv: id, tgt, timeout });
     }
 
@@ -956,6 +953,9 @@
                 Outcome::Reset | Outcome::Failed | Outcome::Canceled | Outcome::Ignored => {}
             }
         }
+        if outcome == Outcome::Failed {
+            self.silent(tgt, OpId(op));
+        }
     }
 
     /// Settled units: the difference goes to the running slot, and rides on the next add there.
--- a/tests/rules/fleet.rs
+++ b/tests/rules/fleet.rs
@@ -120,3 +120,47 @@
     let mut rules = Rules::new(1, set, ms(1000));
     assert!(asks(rules.on(ms(1000), list(ListForm::Restored, vec![]))));
 }
+
+/// A backend that answers errors at once drew work from all, and one that grew slow was known only once the
+/// objective had passed: what one gateway sees of it the others are told (join+vast, a fifth of all deliveries).
+#[test]
+fn what_fails_or_is_long_is_told_and_passed_over_by_the_others() {
+    let share = |heard: &[Vec<u8>]| {
+        let mut set = settings(Repeat::Idempotent);
+        (set.plans[0], set.limits.tell) = (Plan::default(), true);
+        let mut rules = ready(set, 4);
+        for bytes in heard {
+            rules.on(ms(1000), Event::Peer { from: GatewayId(1), bytes: bytes.clone() });
+        }
+        let sent = (0..200).filter(|n| {
+            let now = ms(1000 + n);
+            let to = delivered(&rules.on(now, arrival(*n, now, "a", 1.0)))[0];
+            rules.on(now, outcome(*n, 0, to, Outcome::Ok, true));
+            to == TgtId(0)
+        });
+        sent.count()
+    };
+    let told = |ends: &dyn Fn(&mut Rules, TgtId) -> Vec<Action>| {
+        let mut set = settings(Repeat::Idempotent);
+        (set.plans[0], set.limits.tell) = (Plan::default(), true);
+        let mut rules = ready(set, 1);
+        for n in 0..20 {
+            rules.on(ms(1000), arrival(n, ms(1000), "a", 1.0));
+            rules.on(ms(1010), outcome(n, 0, TgtId(0), Outcome::Ok, true));
+        }
+        let to = delivered(&rules.on(ms(1100), arrival(30, ms(1100), "a", 1.0)))[0];
+        let tells = ends(&mut rules, to).into_iter().filter_map(|a| match a {
+            Action::Tell { to: None, bytes } => Some(bytes),
+            _ => None,
+        });
+        tells.collect::<Vec<_>>()
+    };
+    let fails = told(&|rules, to| rules.on(ms(1101), outcome(30, 0, to, Outcome::Failed, false)));
+    // Answers take 0.1 s; the objective is 1 s.
+    let long = told(&|rules, _| rules.on(ms(1700), Event::Timer { token: "due".into() }));
+    let usual = share(&[]);
+    for heard in [fails, long] {
+        assert_eq!(heard.len(), 1, "it is told once");
+        assert!(share(&[heard[0].clone(), heard[0].clone()]) < usual / 2, "of {usual} usually");
+    }
+}
--- a/tests/rules/model.rs
+++ b/tests/rules/model.rs
@@ -112,9 +112,15 @@
     /// Another process takes the place: what the old one holds it still ends.
     fn hand_over(&mut self, seed: u64) {
         self.open.retain(|_, o| !o.elder);
-        let Some(Action::HandOver(carry)) = self.rules.on(self.now, Event::Yield).pop() else {
-            panic!("nothing is handed over");
-        };
+        let mut carry = None;
+        for action in self.rules.on(self.now, Event::Yield) {
+            match action {
+                Action::HandOver(handed) => carry = Some(handed),
+                // What happens to be due at that time.
+                other => self.check(other, false),
+            }
+        }
+        let carry = carry.expect("nothing is handed over");
         let next = Rules::new(seed, self.set.clone(), self.now);
         self.elder = Some(std::mem::replace(&mut self.rules, next));
         self.open.values_mut().for_each(|o| o.elder = true);
