damsonbeam account: what a whole fleet did, by reason and second, from a folder of logs

Gateways write one account line a second at debug (nothing is kept at other levels); the sub-command adds them up, names faulty lines with file and line, and refuses a folder without any. turned_away_why counts refusals by the module's reason.

--- a/crates/admin/src/figures.rs
+++ b/crates/admin/src/figures.rs
@@ -26,6 +26,8 @@
     pub conf_invalid: IntCounter,
     /// Why invocations were turned away: before any delivery (quota, line, time), or after one.
     pub turned_away: IntCounterVec,
+    /// The same by reason, as the module names it.
+    pub turned_away_why: IntCounterVec,
     pub deliveries: IntCounterVec,
     pub counter_calls: IntCounterVec,
     pub clients: IntGauge,
@@ -70,6 +72,7 @@
             conf_loaded: count("conf_loaded", "Configurations taken at SIGHUP")?,
             conf_invalid: count("conf_invalid", "Configurations turned down at SIGHUP")?,
             turned_away: by("turned_away", "Throttled before or after a delivery was made", "when")?,
+            turned_away_why: by("turned_away_why", "Throttled, by reason", "why")?,
             deliveries: by("deliveries", "Deliveries by how they ended", "outcome")?,
             counter_calls: by("counter_calls", "Calls to the quota counter by how they ended", "outcome")?,
             clients: gauge("clients", "Clients' connections open")?,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,7 +3,7 @@
 //! Exit codes, for every sub-command: 0 done; 1 the input is faulty or the gateway ended on an error;
 //! 2 usage (an unknown sub-command, flag or missing argument, as clap reports it).
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
@@ -26,6 +26,14 @@
     /// Checks configurations before anything starts
     #[command(subcommand)]
     Config(ConfigCommand),
+    /// Adds up what all gateways did, by reason and second, from a folder of their logs
+    Account {
+        /// The folder: a file a gateway, written with DAMSONBEAM_LOG=debug
+        folder: PathBuf,
+        /// A table with a row a second goes here
+        #[arg(long)]
+        csv: Option<PathBuf>,
+    },
     /// Writes a gateway's configuration anew for a deployment of another shape
     Migrate(damsonbeam_migrate::command::Args),
     /// The laboratory: experiments with stand-ins, gateways, load and faults on loopback
@@ -128,6 +136,17 @@
     },
 }
 
+fn account(folder: &Path, csv: Option<PathBuf>) -> Result<(), String> {
+    let account = damsonbeam_account::read(folder)?;
+    account.faulty.iter().for_each(|f| eprintln!("{f}"));
+    print!("{}", account.summary());
+    if account.faulty_lines > 0 {
+        println!("{} lines could not be used", account.faulty_lines);
+    }
+    let Some(path) = csv else { return Ok(()) };
+    std::fs::write(&path, account.csv()?).map_err(|e| format!("{}: {e}", path.display()))
+}
+
 fn failed(what: &str) -> ExitCode {
     eprintln!("damsonbeam: {}", what.replace('\n', " "));
     ExitCode::FAILURE
@@ -148,6 +167,10 @@
                 ExitCode::FAILURE
             }
         },
+        Command::Account { folder, csv } => match account(&folder, csv) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(what) => failed(&what),
+        },
         Command::Lab(command) => match lab(command) {
             Ok(()) => ExitCode::SUCCESS,
             Err(what) => failed(&what),
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -298,10 +298,11 @@
                     self.tidy(inv);
                 }
             }
-            Action::Throttle { inv, retry_after, why: _ } => {
+            Action::Throttle { inv, retry_after, why } => {
                 let sent = self.state.held.get(&inv).is_some_and(|h| !h.deliveries.is_empty());
                 let when = if sent { "after_delivery" } else { "before_delivery" };
                 self.figures.turned_away.with_label_values(&[when]).inc();
+                self.figures.turned_away_why.with_label_values(&[why.name()]).inc();
                 self.answer(inv, Answer::Throttled(retry_after));
                 self.tidy(inv);
             }
