--- a/src/rules.rs
+++ b/src/rules.rs
@@ -108,6 +108,8 @@
 /// It moves its operation's part unanswered this far to all; halved in this, for nothing else tells of it.
 const SILENT_STEP: f64 = 0.5;
 const SILENT_HALF: f64 = 5.0;
+/// Of hundreds of gateways so many tell: each message goes to all, and all hear some tens a second at most.
+const TELLERS: f64 = 50.0;
 /// Deliveries out are whole and estimates of them are not: so far above a cap is not over it.
 const PART_OUT: f64 = 0.15;
 /// Sums of fractions are equal within this many units.
@@ -130,18 +132,15 @@
     fell: Duration,
     prompt: f64,
     places: f64,
-    /// Answers' times by operation.
     lat: Vec<Hist>,
     /// Mean worth and units of an invocation of late; at first the geometric middle, for few are large.
     worth: f64,
     units: f64,
-    /// Seconds that a delivery stays out, of late.
     stay: f64,
     /// By plan and whether a client's repeat asked: part of the quota seen in use, slots it was seen in.
     usual: Vec<[(f64, f64); 2]>,
     copies: f64,
     flow: (Duration, f64, f64),
-    /// Another process has taken this gateway's place.
     yielded: bool,
 }
 
@@ -689,7 +688,8 @@
         let Some(place) = self.set.place(op) else { return };
         let bytes = [&tgt.0.to_be_bytes()[..], &place.to_be_bytes()].concat();
         self.heard(&bytes);
-        if self.set.limits.tell && known < SILENT_STEP {
+        let tells = self.rng.random::<f64>() * f64::from(self.set.gateways) < TELLERS;
+        if self.set.limits.tell && known < SILENT_STEP && tells {
             self.out.push(Action::Tell { to: None, bytes });
         }
     }
