--- a/src/rules.rs
+++ b/src/rules.rs
@@ -112,7 +112,6 @@
 const TELLERS: f64 = 50.0;
 /// Deliveries out are whole and estimates of them are not: so far above a cap is not over it.
 const PART_OUT: f64 = 0.15;
-/// Sums of fractions are equal within this many units.
 const EPS: f64 = 1e-3;
 
 pub struct Rules {
@@ -418,7 +417,8 @@
         let (at, none) = (self.now.as_secs_f64() / c.len, Slot::default());
         let s = c.slots.get(&(at as u64)).unwrap_or(&none);
         let told = s.part(at as u64, c.len, at.fract());
-        let units = weight + c.units + s.own + s.came + s.others + (1.0 - self.ask).powi(2) * self.units;
+        let arrival = 3.0 * self.ask * (1.0 - self.ask).powi(2) * self.units;
+        let units = weight + c.units + s.own + s.came + s.others + arrival;
         let slots = weight / (usual * rate) + c.span + told + c.share(burst) * (at.fract() - told);
         (units / slots).min(PACE_MOST * rate)
     }
