The witness tells what gateways admit: quotas hold at 24 gateways with no counter

By second, the units over the quota were those of a gateway cut off from the counter, of the seconds after its return and of a split's first; none of the silent ones. A gateway that is not answered adds one invocation in twenty, and the witness told its peers what it added, not what it let in (Module::carry_out, Action::Count); what it corrected were totals, and a dead counter gives none. The load, the backends and the test's own window were excluded by the table by second.

Change: Rules::admitted says what was admitted under each name a window holds; every 200 ms the witness reports it, three times a change, and what all peers report goes back as Event::Others: a lower bound, and while every peer is heard the whole up to the oldest report, so no pace is guessed for it. Total carries the same bound; a gateway's own adds no longer raise a total and hide what the counter lost. Also: lab counts of connections, list calls and processor time, and `damsonbeam lab scale`.

The module's test admits 72 of 620 units without the events and holds with them.

--- a/crates/adapter/src/translate.rs
+++ b/crates/adapter/src/translate.rs
@@ -151,6 +151,7 @@
                 name: tally_id,
                 outcome: outcome(disposition),
                 total: sum,
+                others: 0.0,
                 latency: ns(wait_time_ns),
             },
         ),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -57,6 +57,20 @@
         #[arg(long)]
         program: Option<PathBuf>,
     },
+    /// Runs an experiment with growing numbers of gateways and shows what each number costs, builds side by side
+    Scale {
+        /// The experiment's file (TOML); its own number of gateways is not used
+        experiment: PathBuf,
+        /// Numbers of gateways
+        #[arg(long, value_delimiter = ',', default_value = "2,6,12,24")]
+        gateways: Vec<usize>,
+        /// A build to run, as NAME=PROGRAM; as many as are to be compared, this program where none is given
+        #[arg(long = "build")]
+        builds: Vec<String>,
+        /// Where the table, chart and summary go
+        #[arg(long)]
+        out: PathBuf,
+    },
     /// Checks an experiment and the profile and fault script it names, and says what is wrong
     Check { experiment: PathBuf },
 }
@@ -82,6 +96,10 @@
     tokio::runtime::Builder::new_multi_thread().enable_all().build().map_err(|e| format!("runtime: {e}"))
 }
 
+fn this_program() -> Result<PathBuf, String> {
+    std::env::current_exe().map_err(|e| format!("this program: {e}"))
+}
+
 fn lab(command: LabCommand) -> Result<(), String> {
     match command {
         LabCommand::Check { experiment } => {
@@ -95,11 +113,22 @@
             );
             Ok(())
         }
+        LabCommand::Scale { experiment, gateways, builds, out } => {
+            let mut programs = Vec::new();
+            for b in &builds {
+                let (name, program) =
+                    b.split_once('=').ok_or_else(|| format!("--build {b}: not NAME=PROGRAM"))?;
+                programs.push((name.to_string(), PathBuf::from(program)));
+            }
+            if programs.is_empty() {
+                programs.push(("this".into(), this_program()?));
+            }
+            let scaled = damsonbeam_load::scale::run(&experiment, &gateways, &programs, &out);
+            print!("{}", runtime()?.block_on(scaled)?);
+            Ok(())
+        }
         LabCommand::Run { experiment, out, program } => {
-            let program = match program {
-                Some(p) => p,
-                None => std::env::current_exe().map_err(|e| format!("this program: {e}"))?,
-            };
+            let program = program.map_or_else(this_program, Ok)?;
             let found = runtime()?.block_on(damsonbeam_load::experiment::run(&experiment, &program, &out))?;
             print!("{}", found.summary);
             Ok(())
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -136,13 +136,20 @@
 
     fn report(&mut self, now: Duration) {
         let (Some((witness, to)), Some(peers)) = (&mut self.witness, &self.peers) else { return };
-        for bytes in witness.report(DATAGRAM) {
+        let admitted = self.rules.admitted(now);
+        for bytes in witness.report(&admitted, DATAGRAM) {
             for g in to.iter() {
                 peers.try_send(ToPeers { to: Some(*g), bytes: bytes.clone() }).ok();
             }
         }
-        witness.forget(1 << 16);
+        let at = witness.all_told(to, now);
+        let others = admitted.into_iter().map(|a| {
+            let units = witness.others(&a.name, now);
+            Others { customer: a.customer, slot: a.slot, units, at }
+        });
+        let others = others.collect();
         self.state.due.insert((now + witness::EVERY, Due::Report));
+        self.feed(Event::Others(others));
     }
 
     fn mail(&mut self, mail: ToModule) {
@@ -180,12 +187,10 @@
                 }
                 self.tell(inv, no, &out, outcome, report);
             }
-            ToModule::Total { name, outcome, mut total, latency } => {
+            ToModule::Total { name, outcome, total, latency } => {
                 self.figures.counter_calls.with_label_values(&[self::name(outcome)]).inc();
-                if let Some((witness, _)) = self.witness.as_ref().filter(|_| outcome == Outcome::Ok) {
-                    total = witness.total(&name, total, self.clock.now());
-                }
-                self.feed(Event::Total { name, outcome, total, latency });
+                let others = self.witness.as_ref().map_or(0.0, |(w, _)| w.others(&name, self.clock.now()));
+                self.feed(Event::Total { name, outcome, total, others, latency });
             }
             ToModule::Listed(listed) => self.listed(listed),
             ToModule::Peer { from, bytes } => {
@@ -314,19 +319,21 @@
                 self.state.due.insert((self.clock.now() + after, Due::Token(token)));
             }
             Action::Count { name, add, keep } => {
-                let named = self.witness.as_ref().map(|_| name.clone());
                 let call = Call { name, add, keep, at: self.clock.now() };
                 let left = match &self.counter {
                     Some(counter) => counter.try_send(ToCounter::Call(call)).err().map(|e| e.into_inner()),
                     None => Some(ToCounter::Call(call)),
                 };
-                if let (None, Some(name), Some((witness, _))) = (&left, named, &mut self.witness) {
-                    witness.added(&name, add);
-                }
                 if let Some(ToCounter::Call(Call { name, .. })) = left {
                     log!(warn, "counter-crowded", "a call not sent");
                     let (outcome, latency) = (Outcome::Full, Duration::ZERO);
-                    self.state.next.push_back(Event::Total { name, outcome, total: 0.0, latency });
+                    self.state.next.push_back(Event::Total {
+                        name,
+                        outcome,
+                        total: 0.0,
+                        others: 0.0,
+                        latency,
+                    });
                 }
             }
             Action::CloseIdle { tgt } => {
--- a/crates/gateway/src/witness.rs
+++ b/crates/gateway/src/witness.rs
@@ -1,25 +1,32 @@
-//! What the other gateways say they added to the counter, held against what the counter answers: the part
-//! of a quota's count that a split or a lost store hides. No I/O; the module actor carries it out.
+//! What the other gateways say they admitted: the part of a quota's count that a split, a lost store or a
+//! silent counter hides. No I/O; the module actor carries it out.
 //!
-//! Each gateway reports, every [`EVERY`], the totals it has added under each counter name that changed,
-//! to its peers. When the counter answers a total for a name, the total is raised to what this gateway
-//! and its peers are known to have added there, so the module counts what the counter lacks. In calm
-//! times the reports trail the counter and change nothing; in a split each side learns the other's use.
-//! Off unless the configuration sets `witness` (docs/counter-failure.md).
+//! Every [`EVERY`] a gateway reports to its peers what it has admitted under each counter name that changed,
+//! whether or not the counter was asked about it. What the peers report is handed to the module: as a lower
+//! bound of the others' use, and, while every peer is heard, as all of it up to the oldest report. In calm
+//! times the reports trail the counter and change nothing. Off unless the configuration sets `witness`
+//! (docs/counter-failure.md).
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, HashMap};
 use std::hash::Hasher;
 use std::time::Duration;
 
+use damsonbeam::interface::{Admitted, GatewayId};
 use fnv::FnvHasher;
 
 /// Reports go out this often.
 pub const EVERY: Duration = Duration::from_millis(200);
+/// A changed name is reported so many times: datagrams get lost.
+const TIMES: u8 = 3;
+/// Who was not heard for this long is silent: as many reports in a row are seldom lost.
+const SILENT: Duration = EVERY.saturating_mul(TIMES as u32);
 /// A peer's report counts for this long: longer than any name lives on the counter.
 const TRUST: Duration = Duration::from_secs(60);
-/// The first byte of a report; the module's own datagrams are six bytes and never begin so in length.
-pub const TAG: u8 = 0xd7;
-/// One name's entry: its hash and the total added, as f32.
+/// Names are looked through for forgotten ones this often.
+const SWEEP: Duration = Duration::from_secs(10);
+/// The first byte of a report; the module's own datagrams are six bytes, and reports never are.
+pub const TAG: u8 = 0xd8;
+/// One name's entry: its hash and the units admitted, as f32.
 const ENTRY: usize = 12;
 
 fn hash(name: &str) -> u64 {
@@ -30,35 +37,37 @@
 
 #[derive(Default)]
 pub struct Witness {
-    /// What this gateway added under each name (by hash), and the names changed since the last report.
-    own: BTreeMap<u64, f64>,
-    changed: BTreeSet<u64>,
-    /// By peer and name: the total it reported, and when.
-    peers: BTreeMap<(u32, u64), (f64, Duration)>,
+    /// By name's hash: what was reported last and how many times it still has to go.
+    own: HashMap<u64, (f32, u8)>,
+    /// By name's hash and peer: what it reported, and when.
+    peers: HashMap<u64, BTreeMap<u32, (f64, Duration)>>,
+    heard: BTreeMap<u32, Duration>,
+    swept: Duration,
 }
 
 impl Witness {
-    pub fn added(&mut self, name: &str, add: f64) {
-        let h = hash(name);
-        *self.own.entry(h).or_default() += add;
-        self.changed.insert(h);
-    }
-
-    /// Datagrams of `most` bytes at most with what changed since the last call.
-    pub fn report(&mut self, most: usize) -> Vec<Vec<u8>> {
+    /// Datagrams of `most` bytes at most with what changed of late; one at least, for silence tells too.
+    pub fn report(&mut self, admitted: &[Admitted], most: usize) -> Vec<Vec<u8>> {
+        let mut news = Vec::new();
+        for a in admitted {
+            let (h, units) = (hash(&a.name), a.units as f32);
+            let own = self.own.entry(h).or_insert((0.0, 0));
+            if own.0 != units {
+                *own = (units, TIMES);
+            }
+            if own.1 > 0 {
+                own.1 -= 1;
+                news.push((h, units));
+            }
+        }
+        // A name that is asked about no more has left every window.
+        let named: std::collections::HashSet<u64> = admitted.iter().map(|a| hash(&a.name)).collect();
+        self.own.retain(|h, _| named.contains(h));
         let per = (most.saturating_sub(1) / ENTRY).max(1);
-        let changed: Vec<u64> = std::mem::take(&mut self.changed).into_iter().collect();
-        changed
-            .chunks(per)
-            .map(|names| {
-                let mut bytes = vec![TAG];
-                for h in names {
-                    bytes.extend_from_slice(&h.to_be_bytes());
-                    bytes.extend_from_slice(&(self.own.get(h).copied().unwrap_or(0.0) as f32).to_be_bytes());
-                }
-                bytes
-            })
-            .collect()
+        let entry = |(h, units): &(u64, f32)| [&h.to_be_bytes()[..], &units.to_be_bytes()].concat();
+        let datagram =
+            |news: &[(u64, f32)]| std::iter::once(TAG).chain(news.iter().flat_map(entry)).collect();
+        if news.is_empty() { vec![vec![TAG]] } else { news.chunks(per).map(datagram).collect() }
     }
 
     /// Takes a peer's report; false where the bytes are none.
@@ -69,68 +78,88 @@
         }
         for e in entries.chunks(ENTRY) {
             let h = u64::from_be_bytes(e[..8].try_into().expect("eight bytes"));
-            let total = f32::from_be_bytes(e[8..].try_into().expect("four bytes"));
-            self.peers.insert((from, h), (f64::from(total), now));
+            let units = f64::from(f32::from_be_bytes(e[8..].try_into().expect("four bytes")));
+            if units.is_finite() && units >= 0.0 {
+                self.peers.entry(h).or_default().insert(from, (units, now));
+            }
+        }
+        self.heard.insert(from, now);
+        if now >= self.swept + SWEEP {
+            self.swept = now;
+            let fresh =
+                |told: &BTreeMap<u32, (f64, Duration)>| told.values().any(|(_, at)| now < *at + TRUST);
+            self.peers.retain(|_, told| fresh(told));
         }
-        self.peers.retain(|_, (_, at)| now.saturating_sub(*at) < TRUST);
         true
     }
 
-    /// The counter's total for a name, raised to what this gateway and its peers are known to have added.
-    pub fn total(&self, name: &str, total: f64, now: Duration) -> f64 {
-        let h = hash(name);
-        let own = self.own.get(&h).copied().unwrap_or(0.0);
-        let peers: f64 = self
-            .peers
-            .iter()
-            .filter(|((_, n), (_, at))| *n == h && now.saturating_sub(*at) < TRUST)
-            .map(|(_, (t, _))| t.max(0.0))
-            .sum();
-        total.max(own + peers)
+    /// What the peers say they admitted under a name.
+    pub fn others(&self, name: &str, now: Duration) -> f64 {
+        let told = self.peers.get(&hash(name)).into_iter().flat_map(BTreeMap::values);
+        told.filter(|(_, at)| now < *at + TRUST).map(|(units, _)| units).sum()
     }
 
-    /// Forgets names that no peer reported and that this gateway did not add to for a long time.
-    pub fn forget(&mut self, keep: usize) {
-        while self.own.len() > keep {
-            let Some((&h, _)) = self.own.iter().next() else { break };
-            self.own.remove(&h);
-        }
+    /// Up to when every one of these peers has told what it admitted; none where one is silent.
+    pub fn all_told(&self, peers: &[GatewayId], now: Duration) -> Option<Duration> {
+        let oldest = peers.iter().map(|p| self.heard.get(&p.0).copied().unwrap_or_default()).min()?;
+        (now < oldest + SILENT).then_some(oldest)
     }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use damsonbeam::interface::CustomerId;
+
+    fn admitted(name: &str, units: f64) -> Admitted {
+        Admitted { customer: CustomerId("101".into()), slot: 7, name: name.into(), units }
+    }
+
+    fn s(n: u64) -> Duration {
+        Duration::from_secs(n)
+    }
 
     #[test]
-    fn a_split_counter_is_raised_to_what_the_peers_added() {
-        let (mut a, mut b, now) = (Witness::default(), Witness::default(), Duration::from_secs(5));
-        a.added("7/101", 4.0);
-        b.added("7/101", 6.0);
-        b.added("7/101", -1.0);
-        for d in b.report(256) {
-            assert!(a.heard(1, &d, now));
+    fn what_the_peers_admitted_is_summed_and_old_reports_stop_counting() {
+        let (mut a, mut b, mut c) = (Witness::default(), Witness::default(), Witness::default());
+        for (n, (w, units)) in [(&mut b, 5.0), (&mut c, 2.5)].into_iter().enumerate() {
+            for d in w.report(&[admitted("7/101", units)], 256) {
+                assert!(a.heard(n as u32 + 1, &d, s(5)));
+            }
         }
-        // a's counter (split off, empty but for a's own) says 4; b is known to have put 5 there.
-        assert_eq!(a.total("7/101", 4.0, now), 9.0);
-        // Where the counter knows more, it stands.
-        assert_eq!(a.total("7/101", 12.0, now), 12.0);
-        // Other names are not touched, and old reports stop counting.
-        assert_eq!(a.total("8/101", 3.0, now), 3.0);
-        assert_eq!(a.total("7/101", 4.0, now + TRUST), 4.0);
+        assert_eq!(a.others("7/101", s(5)), 7.5);
+        assert_eq!(a.others("8/101", s(5)), 0.0, "another name");
+        // Said anew, it takes the place of what was said: an invocation was taken back.
+        b.report(&[admitted("7/101", 4.0)], 256).iter().for_each(|d| assert!(a.heard(1, d, s(6))));
+        assert_eq!(a.others("7/101", s(6)), 6.5);
+        assert_eq!(a.others("7/101", s(5) + TRUST), 4.0);
+        let garbled = [&[TAG][..], &7u64.to_be_bytes(), &f32::NAN.to_be_bytes()].concat();
+        assert!(a.heard(1, &garbled, s(6)));
+        assert_eq!(a.others("7/101", s(6)), 6.5, "no number");
+    }
+
+    #[test]
+    fn all_have_told_only_while_each_peer_is_heard() {
+        let (mut w, peers) = (Witness::default(), [GatewayId(1), GatewayId(2)]);
+        assert_eq!(w.all_told(&peers, s(1)), None);
+        w.heard(1, &[TAG], s(1));
+        assert_eq!(w.all_told(&peers, s(1)), None, "one was never heard");
+        w.heard(2, &[TAG], s(1) + EVERY);
+        assert_eq!(w.all_told(&peers, s(1) + EVERY), Some(s(1)), "up to the older word");
+        assert_eq!(w.all_told(&peers, s(1) + SILENT), None, "one has fallen silent");
+        assert_eq!(w.all_told(&[], s(1)), None, "a lone gateway has nobody to hear");
     }
 
     #[test]
-    fn reports_fit_a_datagram_and_only_what_changed_goes() {
+    fn reports_fit_a_datagram_are_repeated_and_end() {
         let mut w = Witness::default();
-        (0..50).for_each(|i| w.added(&format!("{i}/9"), 1.0));
-        let sent = w.report(256);
-        assert!(sent.iter().all(|d| d.len() <= 256 && d[0] == TAG));
-        assert_eq!(sent.iter().map(|d| (d.len() - 1) / ENTRY).sum::<usize>(), 50);
-        assert!(w.report(256).is_empty(), "nothing changed since");
-        assert!(
-            !w.heard(0, &[0, 1, 2, 3, 4, 5], Duration::ZERO),
-            "the module's own datagrams are not reports"
-        );
+        let all: Vec<_> = (0..50).map(|i| admitted(&format!("{i}/9"), 1.0)).collect();
+        for _ in 0..TIMES {
+            let sent = w.report(&all, 256);
+            assert!(sent.iter().all(|d| d.len() <= 256 && d[0] == TAG));
+            assert_eq!(sent.iter().map(|d| (d.len() - 1) / ENTRY).sum::<usize>(), 50);
+        }
+        assert_eq!(w.report(&all, 256), [[TAG]], "nothing changed since");
+        assert!(!w.heard(0, &[0, 1, 2, 3, 4, 5], s(0)), "the module's own datagrams are not reports");
     }
 }
--- a/crates/lab/src/backends.rs
+++ b/crates/lab/src/backends.rs
@@ -2,6 +2,7 @@
 //! answer's body. Each logs every request it receives; its faults are set while it runs.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -77,8 +78,34 @@
     }
 }
 
+/// Connections to all backends together.
+#[derive(Default)]
+pub struct Connections {
+    opened: AtomicUsize,
+    open: AtomicUsize,
+    most: AtomicUsize,
+}
+
+impl Connections {
+    /// Opened so far, and the most that were open at once.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.opened.load(Ordering::Relaxed), self.most.load(Ordering::Relaxed))
+    }
+
+    fn begin(&self) {
+        self.opened.fetch_add(1, Ordering::Relaxed);
+        let open = self.open.fetch_add(1, Ordering::Relaxed) + 1;
+        self.most.fetch_max(open, Ordering::Relaxed);
+    }
+
+    fn end(&self) {
+        self.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// The fleet and the one log of what all of them received.
 pub struct Fleet {
+    pub connections: Arc<Connections>,
     pub backends: Vec<Backend>,
     pub log: Arc<Mutex<Vec<Received>>>,
 }
@@ -86,16 +113,16 @@
 impl Fleet {
     pub async fn start(n: usize, seed: u64, behaviour: Behaviour) -> std::io::Result<Fleet> {
         let log = Arc::new(Mutex::new(Vec::new()));
-        let mut backends = Vec::new();
+        let (mut backends, connections) = (Vec::new(), Arc::<Connections>::default());
         for i in 0..n {
             let listener = TcpListener::bind("127.0.0.1:0").await?;
             let at = listener.local_addr()?;
             let rng = ChaCha8Rng::seed_from_u64(seed ^ (i as u64).wrapping_mul(0x9e37_79b9));
             let state = Arc::new(Mutex::new(State { behaviour: behaviour.clone(), rng }));
-            tokio::spawn(accept(listener, i, state.clone(), log.clone()));
+            tokio::spawn(accept(listener, i, state.clone(), log.clone(), connections.clone()));
             backends.push(Backend { at, state });
         }
-        Ok(Fleet { backends, log })
+        Ok(Fleet { connections, backends, log })
     }
 
     pub fn received(&self) -> Vec<Received> {
@@ -103,14 +130,22 @@
     }
 }
 
-async fn accept(listener: TcpListener, i: usize, state: Arc<Mutex<State>>, log: Arc<Mutex<Vec<Received>>>) {
+async fn accept(
+    listener: TcpListener,
+    i: usize,
+    state: Arc<Mutex<State>>,
+    log: Arc<Mutex<Vec<Received>>>,
+    connections: Arc<Connections>,
+) {
     loop {
         let Ok((socket, _)) = listener.accept().await else { continue };
         socket.set_nodelay(true).ok();
-        let (state, log) = (state.clone(), log.clone());
+        let (state, log, connections) = (state.clone(), log.clone(), connections.clone());
+        connections.begin();
         tokio::spawn(async move {
             let service = service_fn(move |request| handle(request, i, state.clone(), log.clone()));
             http1::Builder::new().serve_connection(TokioIo::new(socket), service).await.ok();
+            connections.end();
         });
     }
 }
--- a/crates/lab/src/discovery.rs
+++ b/crates/lab/src/discovery.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -48,6 +49,7 @@
 pub struct Discovery {
     pub at: SocketAddr,
     list: watch::Sender<Page>,
+    calls: Arc<AtomicUsize>,
 }
 
 impl Discovery {
@@ -55,18 +57,27 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let at = listener.local_addr()?;
         let (list, _) = watch::channel(Page { revision: 1, complete: true, members });
-        let pages = Arc::new(list.subscribe());
+        let (pages, calls) = (Arc::new(list.subscribe()), Arc::<AtomicUsize>::default());
+        let counted = calls.clone();
         tokio::spawn(async move {
             loop {
                 let Ok((socket, _)) = listener.accept().await else { continue };
-                let pages = pages.clone();
+                let (pages, counted) = (pages.clone(), counted.clone());
                 tokio::spawn(async move {
-                    let service = service_fn(move |r| hosts(r, (*pages).clone()));
+                    let service = service_fn(move |r| {
+                        counted.fetch_add(1, Ordering::Relaxed);
+                        hosts(r, (*pages).clone())
+                    });
                     http1::Builder::new().serve_connection(TokioIo::new(socket), service).await.ok();
                 });
             }
         });
-        Ok(Discovery { at, list })
+        Ok(Discovery { at, list, calls })
+    }
+
+    /// Lists and watches asked for so far.
+    pub fn calls(&self) -> usize {
+        self.calls.load(Ordering::Relaxed)
     }
 
     /// Changes the list; watches that wait are answered at once.
--- a/crates/lab/src/gateways.rs
+++ b/crates/lab/src/gateways.rs
@@ -175,6 +175,18 @@
         all.filter_map(one).sum()
     }
 
+    /// Processor time of its serving process so far: user and system, in the kernel's hundredths of a second.
+    pub fn cpu(&self) -> Duration {
+        let ticks = |p: &Process| {
+            let stat = std::fs::read_to_string(format!("/proc/{}/stat", p.child.id())).ok()?;
+            // The name before may hold anything up to its last bracket; utime and stime are fields 14 and 15.
+            let (_, fields) = stat.rsplit_once(')')?;
+            let mut fields = fields.split_whitespace().skip(11).map(str::parse::<u64>);
+            Some(fields.next()?.ok()? + fields.next()?.ok()?)
+        };
+        Duration::from_millis(10 * self.serving.iter().filter_map(ticks).sum::<u64>())
+    }
+
     /// Carries out a step that concerns this gateway, number `n`.
     ///
     /// # Errors
--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -71,8 +71,11 @@
     std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
 }
 
+/// An experiment, its load, its faults and its gateways' settings.
+pub type Loaded = (Experiment, Profile, Vec<damsonbeam_lab::Step>, Value);
+
 /// Reads an experiment and what it names, all checked before anything starts.
-pub fn load(path: &Path) -> Result<(Experiment, Profile, Vec<damsonbeam_lab::Step>, Value), String> {
+pub fn load(path: &Path) -> Result<Loaded, String> {
     let text = read(path)?;
     let file = path.display().to_string();
     let e: Experiment = toml::from_str(&text).map_err(|e| {
@@ -109,8 +112,22 @@
     Ok((e, profile, steps, settings))
 }
 
+/// What the gateways cost those that they share.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Costs {
+    /// Connections to backends: opened, and the most open at once.
+    pub handshakes: usize,
+    pub connections: usize,
+    pub counter_calls: usize,
+    pub discovery_calls: usize,
+    pub deliveries: usize,
+    /// Processor time of all gateways together, from start to end.
+    pub cpu: std::time::Duration,
+}
+
 /// What an experiment found beside the report.
 pub struct Found {
+    pub costs: Costs,
     pub summary: String,
     pub records: Vec<run::Record>,
     pub worst: Vec<f64>,
@@ -118,8 +135,20 @@
 }
 
 /// Runs an experiment with the program at `program`, writing the report into `out`.
+///
+/// # Errors
+/// What is wrong with its files, or what could not be started or written.
 pub async fn run(path: &Path, program: &Path, out: &Path) -> Result<Found, String> {
-    let (e, profile, steps, settings) = load(path)?;
+    let loaded = load(path)?;
+    play(path, loaded, program, out).await
+}
+
+/// Runs an experiment that was read, perhaps with another number of gateways.
+///
+/// # Errors
+/// What could not be started or written.
+pub async fn play(path: &Path, loaded: Loaded, program: &Path, out: &Path) -> Result<Found, String> {
+    let (e, profile, steps, settings) = loaded;
     let lab = Lab::start(e.gateways, e.stores, e.backends, profile.seed, Behaviour::default())
         .await
         .map_err(|x| format!("lab: {x}"))?;
@@ -140,6 +169,15 @@
     played.map_err(|why| format!("{}: {why}", e.faults.as_deref().unwrap_or(path).display()))?;
     let received = lab.fleet.received();
     let calls = lab.counter.calls().len();
+    let (handshakes, connections) = lab.fleet.connections.counts();
+    let costs = Costs {
+        handshakes,
+        connections,
+        counter_calls: calls,
+        discovery_calls: lab.discovery.calls(),
+        deliveries: received.iter().filter(|r| !r.id.is_empty()).count(),
+        cpu: started.iter().map(Place::cpu).sum(),
+    };
     drop(started);
     let mut summary = report::write(out, &e.title, &profile, &records)?;
     let named: Vec<_> = steps.iter().map(|s| (s.at, s.name.clone())).collect();
@@ -152,5 +190,5 @@
         e.gateways, e.backends, e.stores, if e.witness { "on" } else { "off" }, received.len(), calls, steps.len()
     ));
     std::fs::write(out.join("summary.md"), &summary).map_err(|x| format!("{}: {x}", out.display()))?;
-    Ok(Found { summary, records, worst, unanswered })
+    Ok(Found { costs, summary, records, worst, unanswered })
 }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod profile;
 pub mod report;
 pub mod run;
+pub mod scale;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -276,8 +276,31 @@
         name: String,
         outcome: Outcome,
         total: f64,
+        /// Of it, what the other gateways say they admitted; 0 where they say nothing.
+        others: f64,
         latency: Duration,
     },
+    /// What the other gateways say they admitted under names that [`crate::Rules::admitted`] gave.
+    Others(Vec<Others>),
+}
+
+/// Units admitted by this gateway under one of the counter's names.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Admitted {
+    pub customer: CustomerId,
+    pub slot: u64,
+    pub name: String,
+    pub units: f64,
+}
+
+/// Units admitted by all others under one of the counter's names.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Others {
+    pub customer: CustomerId,
+    pub slot: u64,
+    pub units: f64,
+    /// Up to when all of them have told; none where one has been silent.
+    pub at: Option<Duration>,
 }
 
 /// Why an invocation is turned away, for staff and their figures.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -12,10 +12,8 @@
 //!  6. warm-up: a fresh backend is passed over by chance and holds to this gateway's part of a budget
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::hash::Hasher;
 use std::time::Duration;
 
-use fnv::FnvHasher;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -193,7 +191,12 @@
                 if closed { self.forget(inv) } else { self.again_or_end(inv) }
             }
             Event::Left { inv } => self.forget(inv),
-            Event::Total { name, outcome, total, latency } => self.told(name, outcome, total, latency),
+            Event::Total { name, outcome, total, others, latency } => {
+                self.told(name, outcome, total, others, latency);
+            }
+            Event::Others(all) => all.iter().for_each(|o| {
+                self.customers.get_mut(&o.customer).into_iter().for_each(|c| c.hear(o));
+            }),
             // A front end may round a wait down: a timer that comes early must not leave all others unarmed.
             Event::Timer { .. } => self.armed = self.armed.filter(|a| *a > now + self.set.tick),
             Event::Peer { bytes, .. } => self.heard(&bytes),
@@ -336,13 +339,7 @@
         let s = c.slots.entry(slot).or_default();
         s.put += add;
         let upto = s.put;
-        let mut text = customer.0.to_string();
-        if text.len() > 40 {
-            let mut hash = FnvHasher::default();
-            hash.write(text.as_bytes());
-            text = format!("{:x}", hash.finish());
-        }
-        let name = format!("{slot}/{text}");
+        let name = customer.counted(slot);
         let call = Call { customer, slot, add, upto, asks, read, at: self.now };
         self.calls.entry(name.clone()).or_default().push_back(call);
         self.out.push(Action::Count { name, add, keep });
@@ -458,7 +455,13 @@
         (c.oldest.max(from)..self.slot_of(c)).filter(open).collect()
     }
 
-    fn told(&mut self, name: String, outcome: Outcome, total: f64, latency: Duration) {
+    /// What was admitted here under each of the counter's names that a window still holds.
+    pub fn admitted(&self, now: Duration) -> Vec<Admitted> {
+        let in_use = self.customers.iter().filter(|(_, c)| !c.slots.is_empty() && !self.open(c.plan));
+        in_use.flat_map(|(id, c)| c.admitted(id, now)).collect()
+    }
+
+    fn told(&mut self, name: String, outcome: Outcome, total: f64, others: f64, latency: Duration) {
         let timeout = self.set.counter.as_ref().map_or(Duration::ZERO, |c| c.timeout);
         let Some(queue) = self.calls.get_mut(&name) else { return };
         let call = queue.pop_front().expect("kept only while calls are out");
@@ -486,7 +489,7 @@
             s.reading &= !call.read;
             s.put -= lost;
             if ok {
-                s.others = if lost > 0.0 { s.others } else { total - call.upto };
+                s.others = if lost > 0.0 { s.others } else { (total - call.upto).max(others) };
                 (s.told, s.last) = (self.now, s.last || last);
             }
         }
@@ -961,10 +964,8 @@
 
     /// Settled units: the difference goes to the running slot, and rides on the next add there.
     fn settle(&mut self, id: InvId, units: f64) {
-        let Some(inv) = self.invs.get(&id).filter(|i| i.admitted && self.set.plans[i.plan.0].rate > 0.0)
-        else {
-            return;
-        };
+        let counted = |i: &&Inv| i.admitted && self.set.plans[i.plan.0].rate > 0.0;
+        let Some(inv) = self.invs.get(&id).filter(counted) else { return };
         let (customer, diff) = (inv.customer.clone(), units - inv.units);
         let slot = self.slot_of(&self.customers[&customer]);
         let s = self.customers.get_mut(&customer).expect("has an invocation").slots.entry(slot).or_default();
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,8 +1,10 @@
 //! What the module remembers: one type for each thing, no decisions, no tuned values.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::Hasher;
 use std::time::Duration;
 
+use fnv::FnvHasher;
 use serde::{Deserialize, Serialize};
 
 use crate::hist::Hist;
@@ -44,6 +46,18 @@
     }
 }
 
+impl CustomerId {
+    /// The counter's name for a slot of this customer's: short, however long the customer's own is.
+    pub(crate) fn counted(&self, slot: u64) -> String {
+        if self.0.len() <= 40 {
+            return format!("{slot}/{}", self.0);
+        }
+        let mut hash = FnvHasher::default();
+        hash.write(self.0.as_bytes());
+        format!("{slot}/{:x}", hash.finish())
+    }
+}
+
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Customer {
     #[serde(skip)]
@@ -76,6 +90,26 @@
     pub(crate) used_at: Duration,
 }
 
+impl Customer {
+    /// Takes in what the other gateways say they admitted: all of it, up to a time, where all have told.
+    pub(crate) fn hear(&mut self, o: &Others) {
+        if o.slot >= self.oldest {
+            let s = self.slots.entry(o.slot).or_default();
+            (s.others, s.told) = (s.others.max(o.units), s.told.max(o.at.unwrap_or_default()));
+        }
+    }
+
+    pub(crate) fn admitted(&self, id: &CustomerId, now: Duration) -> impl Iterator<Item = Admitted> {
+        let running = (now.as_secs_f64() / self.len) as u64;
+        (self.oldest.max(running.saturating_sub(2 * self.cut))..=running).map(|slot| Admitted {
+            name: id.counted(slot),
+            customer: id.clone(),
+            slot,
+            units: self.slots.get(&slot).map_or(0.0, |s| s.own),
+        })
+    }
+}
+
 pub(crate) struct Delivery {
     pub(crate) tgt: TgtId,
     pub(crate) zone: u32,
--- a/tests/rules/common.rs
+++ b/tests/rules/common.rs
@@ -92,11 +92,11 @@
 }
 
 pub fn total(name: &str, total: f64) -> Event {
-    Event::Total { name: name.into(), outcome: Outcome::Ok, total, latency: ms(2) }
+    Event::Total { name: name.into(), outcome: Outcome::Ok, total, others: 0.0, latency: ms(2) }
 }
 
 pub fn no_total(name: &str, outcome: Outcome) -> Event {
-    Event::Total { name: name.into(), outcome, total: 0.0, latency: ms(30) }
+    Event::Total { name: name.into(), outcome, total: 0.0, others: 0.0, latency: ms(30) }
 }
 
 pub fn outcome(inv: u64, no: u32, tgt: TgtId, outcome: Outcome, closed: bool) -> Event {
--- a/tests/rules/decisions.rs
+++ b/tests/rules/decisions.rs
@@ -481,7 +481,8 @@
         for (name, _) in counts(&rules.on(now, Event::Invocation(Invocation { op, ..new }))) {
             asked[op.0] += 1;
             let fails = if n % 8 < 2 { Outcome::TimedOut } else { Outcome::Ok };
-            rules.on(now + ms(25), Event::Total { name, outcome: fails, total: 1.0, latency: ms(25) });
+            let (outcome, latency) = (fails, ms(25));
+            rules.on(now + latency, Event::Total { name, outcome, total: 1.0, others: 0.0, latency });
         }
     }
     assert!(asked[1] > 2 * asked[0], "{asked:?}");
--- a/tests/rules/fleet.rs
+++ b/tests/rules/fleet.rs
@@ -158,3 +158,56 @@
         assert!(share(&[heard[0].clone(), heard[0].clone()]) < usual / 2, "of {usual} usually");
     }
 }
+
+/// With the counter silent, each of many gateways guesses what the others let in from the few invocations that
+/// it sees: what all of them admit together was up to 26% over the quota in the lab, and is an eighth of it
+/// here. What they tell each other holds it, and leaves little of the quota unused.
+#[test]
+fn what_gateways_tell_each_other_holds_a_quota_while_the_counter_is_silent() {
+    let mut set = settings(Repeat::Idempotent);
+    (set.gateways, set.plans[0].rate, set.plans[0].burst) = (24, 10.0, 20.0);
+    let begin = ms(100_000);
+    let mut gateways: Vec<_> = (0..24).map(|seed| Rules::new(seed, set.clone(), begin)).collect();
+    for g in &mut gateways {
+        g.on(begin, list(ListForm::Restored, vec![entry(0, Health::Up, Duration::ZERO)]));
+    }
+    let (mut admitted, mut n) = (0.0, 0);
+    for step in 0..6000 {
+        let now = begin + ms(10 * step);
+        if step % 20 == 0 {
+            let all: Vec<_> = gateways.iter().map(|g| g.admitted(now)).collect();
+            for (me, g) in gateways.iter_mut().enumerate() {
+                let of = |name: &str| {
+                    let told = all.iter().enumerate().filter(|(i, _)| *i != me).flat_map(|(_, a)| a);
+                    told.filter(|a| a.name == name).map(|a| a.units).sum()
+                };
+                let others = all[me].iter().map(|a| Others {
+                    customer: a.customer.clone(),
+                    slot: a.slot,
+                    units: of(&a.name),
+                    at: Some(now),
+                });
+                let others = others.collect();
+                g.on(now, Event::Others(others));
+            }
+        }
+        if step % 3 != 0 {
+            continue;
+        }
+        // Three times its rate, dealt over all by turns.
+        n += 1;
+        let Event::Invocation(new) = arrival(n, now, "a", 1.0) else { unreachable!() };
+        let g = &mut gateways[n as usize * 7 % 24];
+        let mut actions = g.on(now, Event::Invocation(Invocation { spread: 24, ..new }));
+        for (name, _) in counts(&actions) {
+            actions.extend(g.on(now + ms(1), no_total(&name, Outcome::TimedOut)));
+        }
+        for tgt in delivered(&actions) {
+            admitted += 1.0;
+            g.on(now + ms(2), outcome(n, 0, tgt, Outcome::Ok, true));
+        }
+    }
+    let quota = 10.0 * 60.0 + 20.0;
+    assert!(admitted <= 1.05 * quota, "{admitted} units in a minute of {quota}");
+    assert!(admitted >= 0.85 * quota, "{admitted} units in a minute of {quota}");
+}
