--- a/crates/load/src/scale.rs
+++ b/crates/load/src/scale.rs
@@ -201,7 +201,12 @@
                 .label(*build)
                 .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour.stroke_width(2)));
         }
-        chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::UpperLeft)
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK)
+            .draw()?;
     }
     root.present()?;
     Ok(())
