--- a/crates/cli/tests/counter.rs
+++ b/crates/cli/tests/counter.rs
@@ -9,12 +9,9 @@
 
 #[test]
 fn each_firm_stays_within_five_in_a_hundred_over_its_quota_and_every_invocation_gets_one_answer() {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
-    let out = std::env::temp_dir().join(format!("damsonbeam-counter-{}", std::process::id()));
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap();
+    let lab = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../lab");
     let program = Path::new(env!("CARGO_BIN_EXE_damsonbeam"));
-    let found = runtime.block_on(experiment::run(&root.join("lab/counter/ci.toml"), program, &out)).unwrap();
-    std::fs::remove_dir_all(&out).ok();
+    let found = experiment::found(&lab.join("counter/ci.toml"), program).unwrap();
     let ids: HashSet<_> = found.records.iter().map(|r| r.inv.as_str()).collect();
     assert_eq!(ids.len(), found.records.len(), "an invocation recorded twice");
     assert!(found.records.len() > 1000, "{}", found.summary);
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -9,13 +9,9 @@
 
 #[test]
 fn a_dozen_gateways_killed_at_once_come_back_and_serve() {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
-    let out = std::env::temp_dir().join(format!("damsonbeam-fleet-{}", std::process::id()));
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap();
+    let lab = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../lab");
     let program = Path::new(env!("CARGO_BIN_EXE_damsonbeam"));
-    let found =
-        runtime.block_on(experiment::run(&root.join("lab/scale/killed.toml"), program, &out)).unwrap();
-    std::fs::remove_dir_all(&out).ok();
+    let found = experiment::found(&lab.join("scale/killed.toml"), program).unwrap();
     let sent = |from: u64, to: u64| {
         let span = Duration::from_millis(from)..Duration::from_millis(to);
         found.records.iter().filter(move |r| span.contains(&r.sent)).collect::<Vec<&Record>>()
--- a/crates/cli/tests/overload.rs
+++ b/crates/cli/tests/overload.rs
@@ -9,12 +9,9 @@
 
 #[test]
 fn clients_beyond_the_places_are_served_over_connections_that_are_kept() {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
-    let out = std::env::temp_dir().join(format!("damsonbeam-overload-{}", std::process::id()));
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap();
+    let lab = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../lab");
     let program = Path::new(env!("CARGO_BIN_EXE_damsonbeam"));
-    let found = runtime.block_on(experiment::run(&root.join("lab/overload/ci.toml"), program, &out)).unwrap();
-    std::fs::remove_dir_all(&out).ok();
+    let found = experiment::found(&lab.join("overload/ci.toml"), program).unwrap();
     let all = found.records.len();
     assert!(all > 4000, "{}", found.summary);
     let lost = found.records.iter().filter(|r| r.answer.is_lost()).count();
--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -151,6 +151,19 @@
     play(path, loaded, program, out).await
 }
 
+/// Runs an experiment for what it finds alone, as tests do: its report is not kept.
+///
+/// # Errors
+/// As [`run`].
+pub fn found(path: &Path, program: &Path) -> Result<Found, String> {
+    let name = path.file_stem().unwrap_or_default().to_string_lossy();
+    let out = std::env::temp_dir().join(format!("damsonbeam-{name}-{}", std::process::id()));
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let found = runtime.map_err(|e| format!("runtime: {e}"))?.block_on(run(path, program, &out));
+    std::fs::remove_dir_all(&out).ok();
+    found
+}
+
 /// Runs an experiment that was read, perhaps with another number of gateways.
 ///
 /// # Errors
