After a reading: one set of arguments for both lab axes, names hashed once, dead code out

Found in the change of this issue: `lab scale` and `lab overload` declared the same three arguments; a witness report hashed each name twice; Pace::fill had one caller; run::run had none. In a closed loop invocations were numbered by user and turn, which repeats a name from 4,096 users a firm on: they now share one count a firm, as in the open loop.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -45,6 +45,19 @@
     Load(LoadCommand),
 }
 
+/// An experiment run at several places of an axis, builds side by side.
+#[derive(clap::Args)]
+struct Along {
+    /// The experiment's file (TOML)
+    experiment: PathBuf,
+    /// A build to run, as NAME=PROGRAM; as many as are to be compared, this program where none is given
+    #[arg(long = "build")]
+    builds: Vec<String>,
+    /// Where the table, chart and summary go
+    #[arg(long)]
+    out: PathBuf,
+}
+
 #[derive(Subcommand)]
 enum LabCommand {
     /// Runs an experiment: stand-ins, gateways of PROGRAM, the load and the faults it names
@@ -60,31 +73,19 @@
     },
     /// Runs an experiment with growing numbers of gateways and shows what each number costs, builds side by side
     Scale {
-        /// The experiment's file (TOML); its own number of gateways is not used
-        experiment: PathBuf,
-        /// Numbers of gateways
+        /// Numbers of gateways, in place of the experiment's own
         #[arg(long, value_delimiter = ',', default_value = "2,6,12,24")]
         gateways: Vec<f64>,
-        /// A build to run, as NAME=PROGRAM; as many as are to be compared, this program where none is given
-        #[arg(long = "build")]
-        builds: Vec<String>,
-        /// Where the table, chart and summary go
-        #[arg(long)]
-        out: PathBuf,
+        #[command(flatten)]
+        along: Along,
     },
     /// Runs an experiment with a growing load and shows what still succeeds, builds side by side
     Overload {
-        /// The experiment's file (TOML)
-        experiment: PathBuf,
         /// Factors on all firms' rates
         #[arg(long, value_delimiter = ',', default_value = "0.5,0.8,1,1.5,2,3,5,10")]
         factors: Vec<f64>,
-        /// A build to run, as NAME=PROGRAM; as many as are to be compared, this program where none is given
-        #[arg(long = "build")]
-        builds: Vec<String>,
-        /// Where the table, chart and summary go
-        #[arg(long)]
-        out: PathBuf,
+        #[command(flatten)]
+        along: Along,
     },
     /// Checks an experiment and the profile and fault script it names, and says what is wrong
     Check { experiment: PathBuf },
@@ -115,16 +116,16 @@
     std::env::current_exe().map_err(|e| format!("this program: {e}"))
 }
 
-fn along(path: &Path, axis: Axis, places: &[f64], builds: &[String], out: &Path) -> Result<(), String> {
+fn run_along(along: &Along, axis: Axis, places: &[f64]) -> Result<(), String> {
     let mut programs = Vec::new();
-    for b in builds {
+    for b in &along.builds {
         let (name, program) = b.split_once('=').ok_or_else(|| format!("--build {b}: not NAME=PROGRAM"))?;
         programs.push((name.to_string(), PathBuf::from(program)));
     }
     if programs.is_empty() {
         programs.push(("this".into(), this_program()?));
     }
-    let done = damsonbeam_load::scale::run(path, axis, places, &programs, out);
+    let done = damsonbeam_load::scale::run(&along.experiment, axis, places, &programs, &along.out);
     print!("{}", runtime()?.block_on(done)?);
     Ok(())
 }
@@ -142,12 +143,8 @@
             );
             Ok(())
         }
-        LabCommand::Scale { experiment, gateways, builds, out } => {
-            along(&experiment, Axis::Gateways, &gateways, &builds, &out)
-        }
-        LabCommand::Overload { experiment, factors, builds, out } => {
-            along(&experiment, Axis::Load, &factors, &builds, &out)
-        }
+        LabCommand::Scale { gateways, along } => run_along(&along, Axis::Gateways, &gateways),
+        LabCommand::Overload { factors, along } => run_along(&along, Axis::Load, &factors),
         LabCommand::Run { experiment, out, program } => {
             let program = program.map_or_else(this_program, Ok)?;
             let found = runtime()?.block_on(damsonbeam_load::experiment::run(&experiment, &program, &out))?;
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -37,7 +37,6 @@
 }
 
 /// So many events in a span, saved up to a [`BEYOND`] or so; an event more has to wait.
-#[derive(Clone, Copy, Debug)]
 struct Pace {
     saved: f64,
     at: Duration,
@@ -48,14 +47,10 @@
         Pace { saved: BEYOND as f64, at: now }
     }
 
-    fn fill(&mut self, most: usize, now: Duration) {
-        let came = most as f64 * now.saturating_sub(self.at).as_secs_f64() / TURN.as_secs_f64();
-        (self.saved, self.at) = ((self.saved + came).min(BEYOND as f64), now);
-    }
-
     /// Takes one, or says how long till there is one.
     fn take(&mut self, most: usize, now: Duration) -> Result<(), Duration> {
-        self.fill(most, now);
+        let came = most as f64 * now.saturating_sub(self.at).as_secs_f64() / TURN.as_secs_f64();
+        (self.saved, self.at) = ((self.saved + came).min(BEYOND as f64), now);
         if self.saved >= 1.0 {
             self.saved -= 1.0;
             return Ok(());
--- a/crates/gateway/src/witness.rs
+++ b/crates/gateway/src/witness.rs
@@ -7,7 +7,7 @@
 //! times the reports trail the counter and change nothing. Off unless the configuration sets `witness`
 //! (docs/counter-failure.md).
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::hash::Hasher;
 use std::time::Duration;
 
@@ -48,9 +48,10 @@
 impl Witness {
     /// Datagrams of `most` bytes at most with what changed of late; one at least, for silence tells too.
     pub fn report(&mut self, admitted: &[Admitted], most: usize) -> Vec<Vec<u8>> {
-        let mut news = Vec::new();
+        let (mut news, mut named) = (Vec::new(), HashSet::new());
         for a in admitted {
             let (h, units) = (hash(&a.name), a.units as f32);
+            named.insert(h);
             let own = self.own.entry(h).or_insert((0.0, 0));
             if own.0 != units {
                 *own = (units, TIMES);
@@ -61,7 +62,6 @@
             }
         }
         // A name that is asked about no more has left every window.
-        let named: std::collections::HashSet<u64> = admitted.iter().map(|a| hash(&a.name)).collect();
         self.own.retain(|h, _| named.contains(h));
         let per = (most.saturating_sub(1) / ENTRY).max(1);
         let entry = |(h, units): &(u64, f32)| [&h.to_be_bytes()[..], &units.to_be_bytes()].concat();
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -7,7 +7,7 @@
 //! was late by is told apart ([`Reached`]), with a warning where the tool was the limit.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -74,12 +74,8 @@
     lags: Vec<Mutex<Histogram<u64>>>,
 }
 
-/// Runs the profile against the gateways; returns when every invocation is answered or given up.
-pub async fn run(profile: &Profile, gateways: &[SocketAddr]) -> Vec<Record> {
-    measured(profile, gateways).await.0
-}
-
-/// The same, with how far the tool itself got.
+/// Runs the profile against the gateways; returns when every invocation is answered or given up, with how far
+/// the tool itself got.
 pub async fn measured(profile: &Profile, gateways: &[SocketAddr]) -> (Vec<Record>, Reached) {
     let n = profile.firms.len();
     let lag = || Mutex::new(Histogram::new_with_max(60_000_000, 3).expect("sound bounds"));
@@ -157,21 +153,20 @@
 }
 
 async fn closed(shared: Arc<Shared>, f: usize, clients: Vec<Arc<Client>>, users: usize) {
-    let mut all = Vec::new();
+    let (mut all, count) = (Vec::new(), Arc::<AtomicU64>::default());
     for user in 0..users {
-        let (shared, client) = (shared.clone(), clients[user % clients.len()].clone());
+        let (shared, client, count) = (shared.clone(), clients[user % clients.len()].clone(), count.clone());
         let mut rng = source(&shared.profile, f * 100_003 + user);
         all.push(tokio::spawn(async move {
             let think = shared.profile.kind.think;
-            let mut n = 0u64;
             loop {
                 tokio::time::sleep(think.mul_f64(2.0 * rng.random::<f64>())).await;
                 let at = shared.start.elapsed();
                 if at >= shared.profile.lasting {
                     return;
                 }
-                n += 1;
-                invoke(&shared, f, &client, (user as u64) << 20 | n, at, rng.random()).await;
+                let n = 1 + count.fetch_add(1, Ordering::Relaxed);
+                invoke(&shared, f, &client, n, at, rng.random()).await;
             }
         }));
     }
