--- /dev/null
+++ b/crates/coffer/src/agree.rs
@@ -0,0 +1,429 @@
+//! How coffers agree on the items of the configuration, free of I/O.
+//!
+//! Any coffer takes a write. It prepares a ballot at a majority, which tells it all items accepted so far; it
+//! merges them item by item, applies the call to the whole, checks the result, and has a majority accept what is
+//! new. There is no log and no leader: each item stands for itself, by version and, of one version, by ballot.
+//! What a majority has accepted is decided; only that is acknowledged and told to the proxies.
+//!
+//! A coffer whose disk came back empty has forgotten what it promised: it counts in no majority until so many
+//! others have told it their items that at least one of any majority was among them.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+use damsonbeam_market::items::{Ballot, Book, Item, Key, Kind};
+use damsonbeam_market::note::{Ip, Note, Order, Reply};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// A phase of a write that gets no majority is given up: several ways there and back, and a slow sync.
+const PHASE: Duration = Duration::from_millis(1200);
+/// An order waits and is tried again for so long at most; its caller tries elsewhere then.
+const ORDER: Duration = Duration::from_millis(3500);
+/// After a clash of ballots each waits a time by lot, up to this times the clashes: two ways there and back.
+const BACK: Duration = Duration::from_millis(240);
+/// Between two comparisons with another coffer.
+const SWEEP: Duration = Duration::from_millis(1000);
+/// One that is not whole asks this often.
+const MEND: Duration = Duration::from_millis(250);
+/// What is accepted and not known to be decided for so long is settled by a round of its own.
+const LEFT: Duration = Duration::from_millis(1500);
+/// Nothing is agreed upon in so long after a start: others have yet to be found.
+const GATHER: Duration = Duration::from_millis(1500);
+
+/// What must be on disk, synced, before what follows it is sent.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Kept {
+    pub promised: Ballot,
+    pub whole: bool,
+    pub accepted: Book,
+    pub decided: Book,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Keep {
+    Promised(Ballot),
+    Whole,
+    Accepted(Vec<Item>),
+    Decided(Vec<Item>),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    Keep(Keep),
+    Send(Ip, Note),
+    Broadcast(Note),
+    Reply(u64, Reply),
+    /// Decided items that were not known before, for the warden.
+    News(Vec<Item>),
+}
+
+#[derive(Debug)]
+enum Phase {
+    Prepare { promises: BTreeSet<Ip>, gathered: Book },
+    Accept { accepts: BTreeSet<Ip>, items: Vec<Item>, replies: Vec<(u64, Reply)> },
+}
+
+#[derive(Debug)]
+struct Round {
+    no: u64,
+    ballot: Ballot,
+    orders: Vec<(u64, Order, Duration)>,
+    until: Duration,
+    phase: Phase,
+}
+
+#[derive(Debug)]
+pub struct Agree {
+    me: Ip,
+    kept: Kept,
+    rng: SmallRng,
+    from: Duration,
+    /// Coffers in all; a majority is more than half of them.
+    size: u32,
+    peers: Vec<Ip>,
+    highest: u64,
+    no: u64,
+    round: Option<Round>,
+    waiting: VecDeque<(u64, Order, Duration)>,
+    clashes: u32,
+    again: Duration,
+    sweep: Duration,
+    turn: usize,
+    mended: BTreeSet<Ip>,
+    left_since: Option<Duration>,
+    out: Vec<Act>,
+}
+
+fn writer(ip: Ip) -> u64 {
+    u64::from(u32::from_be_bytes(ip))
+}
+
+impl Agree {
+    pub fn new(me: Ip, kept: Kept, first: bool, seed: u64, now: Duration) -> Self {
+        let mut a = Agree {
+            me,
+            highest: kept.promised.round,
+            kept,
+            rng: SmallRng::seed_from_u64(seed),
+            from: now + GATHER,
+            size: 0,
+            peers: Vec::new(),
+            no: 0,
+            round: None,
+            waiting: VecDeque::new(),
+            clashes: 0,
+            again: now,
+            sweep: now,
+            turn: 0,
+            mended: BTreeSet::new(),
+            left_since: None,
+            out: Vec::new(),
+        };
+        if first && !a.kept.whole {
+            // The very first start: nobody has anything to tell.
+            a.whole();
+        }
+        a
+    }
+
+    pub fn kept(&self) -> &Kept {
+        &self.kept
+    }
+
+    pub fn done(&mut self) -> Vec<Act> {
+        std::mem::take(&mut self.out)
+    }
+
+    pub fn roster(&mut self, ips: &[Ip], size: u32) {
+        self.peers = ips.iter().copied().filter(|ip| *ip != self.me).collect();
+        self.size = size.max(ips.len() as u32);
+    }
+
+    fn majority(&self) -> usize {
+        self.size as usize / 2 + 1
+    }
+
+    fn whole(&mut self) {
+        self.kept.whole = true;
+        self.out.push(Act::Keep(Keep::Whole));
+    }
+
+    pub fn order(&mut self, no: u64, order: Order, now: Duration) {
+        self.waiting.push_back((no, order, now + ORDER));
+        self.tick(now);
+    }
+
+    pub fn tick(&mut self, now: Duration) {
+        while self.waiting.front().is_some_and(|o| now >= o.2) {
+            let (no, ..) = self.waiting.pop_front().expect("seen above");
+            self.out.push(Act::Reply(no, Reply::Unsettled("no majority in time".into())));
+        }
+        if self.round.as_ref().is_some_and(|r| now >= r.until) {
+            self.give_up(now);
+        }
+        if !self.kept.whole && now >= self.sweep {
+            self.sweep = now + MEND;
+            self.out.push(Act::Broadcast(Note::Compare { digest: 0, decided: 0 }));
+        } else if now >= self.sweep && !self.peers.is_empty() {
+            self.sweep = now + SWEEP;
+            self.turn += 1;
+            let (digest, decided) = (self.kept.accepted.digest(), self.kept.decided.digest());
+            let to = self.peers[self.turn % self.peers.len()];
+            self.out.push(Act::Send(to, Note::Compare { digest, decided }));
+        }
+        let left = self.kept.accepted.digest() != self.kept.decided.digest();
+        self.left_since = if left { self.left_since.or(Some(now)) } else { None };
+        let ready = self.kept.whole && now >= self.from && now >= self.again && self.size > 0;
+        let settle = self.left_since.is_some_and(|s| now >= s + LEFT);
+        if self.round.is_none() && ready && (settle || !self.waiting.is_empty()) {
+            let orders = self.waiting.drain(..).collect();
+            self.prepare(orders, now);
+        }
+    }
+
+    fn prepare(&mut self, orders: Vec<(u64, Order, Duration)>, now: Duration) {
+        self.highest += 1;
+        self.no += 1;
+        let ballot = Ballot { round: self.highest, writer: writer(self.me) };
+        self.promise(ballot);
+        let digest = self.kept.accepted.digest();
+        let phase = Phase::Prepare { promises: [self.me].into(), gathered: self.kept.accepted.clone() };
+        self.round = Some(Round { no: self.no, ballot, orders, until: now + PHASE, phase });
+        self.out.push(Act::Broadcast(Note::Prepare { no: self.no, ballot, digest }));
+        self.gathered(now);
+    }
+
+    fn promise(&mut self, ballot: Ballot) {
+        self.kept.promised = ballot;
+        self.highest = self.highest.max(ballot.round);
+        self.out.push(Act::Keep(Keep::Promised(ballot)));
+    }
+
+    /// Back into the line with what is not answered; whoever clashed waits a time by lot.
+    fn give_up(&mut self, now: Duration) {
+        let Some(round) = self.round.take() else { return };
+        self.clashes = (self.clashes + 1).min(5);
+        self.again = now + BACK.mul_f64(self.rng.random::<f64>() * f64::from(self.clashes));
+        for order in round.orders.into_iter().rev() {
+            self.waiting.push_front(order);
+        }
+    }
+
+    /// A message of another coffer.
+    pub fn heard(&mut self, from: Ip, note: Note, now: Duration) {
+        match note {
+            Note::Prepare { no, ballot, digest } => {
+                let ok = ballot > self.kept.promised;
+                if ok {
+                    self.promise(ballot);
+                }
+                let same = digest == self.kept.accepted.digest();
+                let items = (ok && !same).then(|| self.kept.accepted.items.values().cloned().collect());
+                let (whole, ballot) = (self.kept.whole, self.kept.promised);
+                self.out.push(Act::Send(from, Note::Promise { no, ok, whole, ballot, items }));
+            }
+            Note::Promise { no, ok, whole, ballot, items } => {
+                self.highest = self.highest.max(ballot.round);
+                let Some(round) = self.round.as_mut().filter(|r| r.no == no) else { return };
+                let Phase::Prepare { promises, gathered } = &mut round.phase else { return };
+                if !ok {
+                    return self.give_up(now);
+                }
+                for item in items.into_iter().flatten() {
+                    gathered.merge(item);
+                }
+                if whole {
+                    promises.insert(from);
+                }
+                self.gathered(now);
+            }
+            Note::Accept { no, ballot, items } => {
+                let ok = ballot >= self.kept.promised;
+                if ok {
+                    self.promise(ballot);
+                    self.accept(items);
+                }
+                // One that is not whole has the items all the same, but its word does not count yet.
+                let (ok, ballot) = (ok && self.kept.whole, self.kept.promised);
+                self.out.push(Act::Send(from, Note::Accepted { no, ok, ballot }));
+            }
+            Note::Accepted { no, ok, ballot } => {
+                self.highest = self.highest.max(ballot.round);
+                let Some(round) = self.round.as_mut().filter(|r| r.no == no) else { return };
+                let clash = ballot > round.ballot;
+                let Phase::Accept { accepts, .. } = &mut round.phase else { return };
+                if ok {
+                    accepts.insert(from);
+                    self.accepted();
+                } else if clash {
+                    self.give_up(now);
+                }
+            }
+            Note::Commit { items } => {
+                self.accept(items.clone());
+                self.decide(items);
+            }
+            Note::Compare { digest, decided } => {
+                let same = digest == self.kept.accepted.digest() && decided == self.kept.decided.digest();
+                if !same || digest == 0 {
+                    self.out.push(Act::Send(from, self.mend()));
+                }
+            }
+            Note::Mend { items, decided, whole, ballot } => {
+                self.highest = self.highest.max(ballot.round);
+                self.accept(items);
+                self.accept(decided.clone());
+                self.decide(decided);
+                if !self.kept.whole && whole {
+                    if ballot > self.kept.promised {
+                        self.promise(ballot);
+                    }
+                    self.mended.insert(from);
+                    // Of any majority, at least one is among so many others.
+                    let size = self.size as usize;
+                    if size > 0 && now >= self.from && self.mended.len() > size - self.majority() {
+                        self.whole();
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn mend(&self) -> Note {
+        let items =
+            self.kept.accepted.items.values().filter(|i| self.kept.decided.items.get(&i.key) != Some(i));
+        Note::Mend {
+            items: items.cloned().collect(),
+            decided: self.kept.decided.items.values().cloned().collect(),
+            whole: self.kept.whole,
+            ballot: self.kept.promised,
+        }
+    }
+
+    fn accept(&mut self, items: Vec<Item>) {
+        let new: Vec<Item> = items.into_iter().filter(|i| self.kept.accepted.merge(i.clone())).collect();
+        if !new.is_empty() {
+            self.out.push(Act::Keep(Keep::Accepted(new)));
+        }
+    }
+
+    fn decide(&mut self, items: Vec<Item>) {
+        let new: Vec<Item> = items.into_iter().filter(|i| self.kept.decided.merge(i.clone())).collect();
+        if !new.is_empty() {
+            self.out.push(Act::Keep(Keep::Decided(new.clone())));
+            self.out.push(Act::News(new));
+        }
+    }
+
+    /// A majority has told what it accepted: the whole is known, and the orders are carried out on it.
+    fn gathered(&mut self, now: Duration) {
+        let majority = self.majority();
+        let Some(round) = &mut self.round else { return };
+        let Phase::Prepare { promises, gathered } = &mut round.phase else { return };
+        if promises.len() < majority {
+            return;
+        }
+        let mut book = std::mem::take(gathered);
+        settle(&mut book, &self.kept.decided);
+        let mut replies = Vec::new();
+        let ballot = round.ballot;
+        for (no, order, _) in &round.orders {
+            let (next, reply) = carry_out(&book, order, ballot);
+            if let Some(next) = next {
+                book = next;
+            }
+            replies.push((*no, reply));
+        }
+        // What is not known to be decided is proposed again, by this ballot.
+        let fresh = book.items.values().filter(|i| self.kept.decided.items.get(&i.key) != Some(i));
+        let items: Vec<Item> = fresh.map(|i| Item { ballot, ..i.clone() }).collect();
+        for (no, reply) in &mut replies {
+            if *reply == Reply::Book(Vec::new()) {
+                *reply = Reply::Book(book.items.values().cloned().collect());
+            }
+            let _ = no;
+        }
+        if items.is_empty() {
+            self.round = None;
+            self.clashes = 0;
+            self.out.extend(replies.into_iter().map(|(no, r)| Act::Reply(no, r)));
+            return;
+        }
+        let no = round.no;
+        round.until = now + PHASE;
+        round.phase = Phase::Accept { accepts: [self.me].into(), items: items.clone(), replies };
+        self.accept(items.clone());
+        self.out.push(Act::Broadcast(Note::Accept { no, ballot, items }));
+        self.accepted();
+    }
+
+    fn accepted(&mut self) {
+        let majority = self.majority();
+        let done = |r: &Round| matches!(&r.phase, Phase::Accept { accepts, .. } if accepts.len() >= majority);
+        if !self.round.as_ref().is_some_and(done) {
+            return;
+        }
+        let Some(Round { phase: Phase::Accept { items, replies, .. }, .. }) = self.round.take() else {
+            return;
+        };
+        self.clashes = 0;
+        self.decide(items.clone());
+        self.out.extend(replies.into_iter().map(|(no, r)| Act::Reply(no, r)));
+        self.out.push(Act::Broadcast(Note::Commit { items }));
+    }
+}
+
+/// Leftovers of writes that were given up may clash with what was decided without them: they go, oldest first.
+/// What was decided never clashes, for each write was checked against all decided before it.
+fn settle(book: &mut Book, decided: &Book) {
+    while book.check().is_err() {
+        let mut left: Vec<(Ballot, Key)> = book
+            .items
+            .values()
+            .filter(|i| decided.items.get(&i.key) != Some(i))
+            .map(|i| (i.ballot, i.key.clone()))
+            .collect();
+        left.sort_unstable();
+        let Some(first) = left.first().cloned() else { return };
+        let without = |key: &Key| {
+            let mut b = book.clone();
+            match decided.items.get(key) {
+                Some(known) => drop(b.items.insert(key.clone(), known.clone())),
+                None => drop(b.items.remove(key)),
+            }
+            b
+        };
+        let cure = left.iter().map(|(_, key)| without(key)).find(|b| b.check().is_ok());
+        *book = cure.unwrap_or_else(|| without(&first.1));
+    }
+}
+
+/// An order on the whole as it stands: what stands after it, and what its caller is told.
+fn carry_out(book: &Book, order: &Order, ballot: Ballot) -> (Option<Book>, Reply) {
+    match order {
+        Order::Read => (None, Reply::Book(Vec::new())),
+        Order::Change(change) => {
+            let mut next = book.clone();
+            for item in book.news(change) {
+                next.merge(Item { ballot, ..item });
+            }
+            match next.check() {
+                Ok(()) => (Some(next), Reply::Done),
+                Err(e) => (None, e.into()),
+            }
+        }
+        Order::Evacuate { zone, on } => {
+            let key = Key { kind: Kind::Evacuation, name: zone.clone() };
+            let known = book.items.get(&key);
+            if known.is_some_and(|i| i.body.is_some()) == *on {
+                return (None, Reply::Done);
+            }
+            let version = known.map_or(1, |i| i.version + 1);
+            let mut next = book.clone();
+            next.merge(Item { key, version, ballot, body: on.then(|| b"true".to_vec()) });
+            (Some(next), Reply::Done)
+        }
+    }
+}
--- /dev/null
+++ b/crates/coffer/src/main.rs
@@ -0,0 +1,271 @@
+//! `damsonbeam-coffer`: one coffer. It owns the disk, and carries messages to the agreement and its acts out.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::process::ExitCode;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use damsonbeam_coffer::agree::{Act, Agree, Keep};
+use damsonbeam_coffer::store::{Roster, Store};
+use damsonbeam_market::link::{self, In, Out};
+use damsonbeam_market::note::{Ip, Note, addr, ip};
+use damsonbeam_market::settings::{Port, Settings};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+
+const TICK: Duration = Duration::from_millis(20);
+const DIAL: Duration = Duration::from_millis(800);
+const REDIAL: Duration = Duration::from_millis(200);
+/// Nothing need be said on a link between coffers for long: the sweep comes by each peer in this time.
+const QUIET: Duration = Duration::from_secs(60);
+
+enum Mail {
+    /// From a peer's link, or the warden's, by its number.
+    Heard {
+        link: u64,
+        note: Note,
+    },
+    Up {
+        peer: Ip,
+        out: Out,
+    },
+    Down {
+        peer: Ip,
+    },
+    Came {
+        link: u64,
+        from: Ip,
+        out: Out,
+    },
+    Gone {
+        link: u64,
+    },
+}
+
+struct Coffer {
+    agree: Agree,
+    store: Store,
+    roster: Roster,
+    /// Links this one dialled, by peer.
+    peers: HashMap<Ip, Out>,
+    /// Links that came, by number.
+    came: HashMap<u64, (Ip, Out)>,
+    /// The warden's, where orders come from.
+    warden: Option<u64>,
+    /// Orders by their number here: the link and its own number.
+    orders: HashMap<u64, (u64, u64)>,
+    next_order: u64,
+    start: Instant,
+}
+
+impl Coffer {
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// Carries the acts out: what must be kept is on disk before anything that follows it is sent.
+    fn carry_out(&mut self, from: Option<(u64, Ip)>) -> Result<(), String> {
+        let acts = self.agree.done();
+        let keeps: Vec<Keep> =
+            acts.iter().filter_map(|a| if let Act::Keep(k) = a { Some(k.clone()) } else { None }).collect();
+        if !keeps.is_empty() {
+            self.store.keep(&keeps).map_err(|e| e.to_string())?;
+        }
+        for act in acts {
+            match act {
+                Act::Keep(_) => {}
+                Act::Send(to, note) => {
+                    // An answer goes back the way its question came.
+                    let back = from.filter(|(_, ip)| *ip == to).and_then(|(link, _)| self.came.get(&link));
+                    if let Some(out) = back.map(|b| &b.1).or_else(|| self.peers.get(&to)) {
+                        out.send(&note);
+                    }
+                }
+                Act::Broadcast(note) => {
+                    let bytes = damsonbeam_market::note::pack(&note);
+                    for out in self.peers.values() {
+                        out.bytes(bytes.clone());
+                    }
+                }
+                Act::Reply(no, reply) => {
+                    if let Some((link, no)) = self.orders.remove(&no)
+                        && let Some((_, out)) = self.came.get(&link)
+                    {
+                        out.send(&Note::Reply { no, reply });
+                    }
+                }
+                Act::News(items) => {
+                    log::info!("coffer: {} items decided.", items.len());
+                    if let Some((_, out)) = self.warden.and_then(|w| self.came.get(&w)) {
+                        out.send(&Note::Decided { items, whole: false });
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn mail(&mut self, mail: Mail, roster: &Rc<RefCell<Vec<Ip>>>) -> Result<(), String> {
+        match mail {
+            Mail::Up { peer, out } => drop(self.peers.insert(peer, out)),
+            Mail::Down { peer } => drop(self.peers.remove(&peer)),
+            Mail::Came { link, from, out } => drop(self.came.insert(link, (from, out))),
+            Mail::Gone { link } => {
+                self.came.remove(&link);
+                self.warden = self.warden.filter(|w| *w != link);
+            }
+            Mail::Heard { link, note: Note::Roster { ips, size } } => {
+                if self.warden != Some(link) {
+                    self.warden = Some(link);
+                    let items = self.agree.kept().decided.items.values().cloned().collect();
+                    if let Some((_, out)) = self.came.get(&link) {
+                        out.send(&Note::Roster { ips: self.roster.0.clone(), size: self.roster.1 });
+                        out.send(&Note::Decided { items, whole: true });
+                    }
+                }
+                let new: Roster = (ips, size.max(self.roster.1));
+                self.agree.roster(&new.0, new.1);
+                *roster.borrow_mut() = new.0.clone();
+                if new != self.roster {
+                    self.store.keep_roster(&new).map_err(|e| e.to_string())?;
+                    self.roster = new;
+                }
+            }
+            Mail::Heard { link, note: Note::Ask { no, order } } => {
+                self.next_order += 1;
+                self.orders.insert(self.next_order, (link, no));
+                let now = self.now();
+                self.agree.order(self.next_order, order, now);
+                self.carry_out(None)?;
+            }
+            Mail::Heard { link, note } => {
+                let from = self.came.get(&link).map(|c| c.0).or_else(|| peer_of(link));
+                if let Some(from) = from {
+                    let now = self.now();
+                    self.agree.heard(from, note, now);
+                    self.carry_out(Some((link, from)))?;
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Links that this one dialled are numbered by their peer's address, above all numbers of those that came.
+const DIALLED: u64 = 1 << 40;
+
+fn peer_of(link: u64) -> Option<Ip> {
+    (link >= DIALLED).then(|| ((link - DIALLED) as u32).to_be_bytes())
+}
+
+async fn read(mut from: In, link: u64, to: mpsc::Sender<Mail>) {
+    while let Ok(note) = from.next::<Note>(QUIET).await {
+        if to.send(Mail::Heard { link, note }).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Holds a link to one peer while the roster names it.
+async fn hold(peer: Ip, settings: Rc<Settings>, roster: Rc<RefCell<Vec<Ip>>>, to: mpsc::Sender<Mail>) {
+    while roster.borrow().contains(&peer) {
+        if let Ok(stream) = link::dial(settings.inner(addr(peer), Port::Coffer), DIAL).await {
+            let (from, out) = link::split(stream);
+            to.send(Mail::Up { peer, out }).await.ok();
+            read(from, DIALLED + u64::from(u32::from_be_bytes(peer)), to.clone()).await;
+            to.send(Mail::Down { peer }).await.ok();
+        }
+        sleep(REDIAL).await;
+    }
+}
+
+async fn run(settings: Settings) -> Result<(), String> {
+    let settings = Rc::new(settings);
+    let me = ip(settings.ip);
+    let dir = settings.data.clone().ok_or("data_directory: a coffer needs one")?;
+    let store = Store::open(&dir).map_err(|e| e.to_string())?;
+    let (kept, known) = store.read().map_err(|e| e.to_string())?;
+    let start = Instant::now();
+    log::info!(
+        "coffer: {} items on disk, {}.",
+        kept.accepted.items.len(),
+        if kept.whole { "whole" } else { "to be mended" }
+    );
+    let first = settings.first_start && kept.accepted.items.is_empty();
+    let mut agree = Agree::new(me, kept, first, rand::random(), Duration::ZERO);
+    agree.roster(&known.0, known.1);
+    let roster = Rc::new(RefCell::new(known.0.clone()));
+    let mut coffer = Coffer {
+        agree,
+        store,
+        roster: known,
+        peers: HashMap::new(),
+        came: HashMap::new(),
+        warden: None,
+        orders: HashMap::new(),
+        next_order: 0,
+        start,
+    };
+    coffer.carry_out(None)?;
+    let listener = link::listen(settings.inner(settings.ip, Port::Coffer))?;
+    let (to, mut mailbox) = mpsc::channel(1024);
+    let accepted = to.clone();
+    tokio::task::spawn_local(async move {
+        for link in 1u64.. {
+            let Ok((stream, at)) = listener.accept().await else {
+                sleep(REDIAL).await;
+                continue;
+            };
+            let IpAddr::V4(v4) = at.ip() else { continue };
+            link::tend(&stream);
+            let (from, out) = link::split(stream);
+            let to = accepted.clone();
+            tokio::task::spawn_local(async move {
+                to.send(Mail::Came { link, from: v4.octets(), out }).await.ok();
+                read(from, link, to.clone()).await;
+                to.send(Mail::Gone { link }).await.ok();
+            });
+        }
+    });
+    let mut held: HashMap<Ip, tokio::task::JoinHandle<()>> = HashMap::new();
+    let mut tick = interval(TICK);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+    loop {
+        tokio::select! {
+            Some(mail) = mailbox.recv() => coffer.mail(mail, &roster)?,
+            _ = tick.tick() => {
+                let now = coffer.now();
+                coffer.agree.tick(now);
+                coffer.carry_out(None)?;
+                held.retain(|_, task| !task.is_finished());
+                for peer in roster.borrow().iter().filter(|p| **p != me) {
+                    if !held.contains_key(peer) {
+                        let task = hold(*peer, settings.clone(), roster.clone(), to.clone());
+                        held.insert(*peer, tokio::task::spawn_local(task));
+                    }
+                }
+            }
+            _ = terminate.recv() => {
+                log::info!("coffer: ends.");
+                return Ok(());
+            }
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let about = "One coffer: the store of the configuration. Configured by DAMSONBEAM_CONFIG.";
+    let () = bpaf::Parser::to_options(bpaf::pure(())).descr(about).run();
+    damsonbeam_market::logs();
+    let outcome = Settings::read().map_err(|e| e.to_string()).and_then(|settings| {
+        let options = tokio::runtime::LocalOptions::default();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build_local(options);
+        runtime.map_err(|e| format!("runtime: {e}"))?.block_on(run(settings))
+    });
+    damsonbeam_market::ended("coffer", outcome)
+}
--- /dev/null
+++ b/crates/coffer/src/store.rs
@@ -0,0 +1,181 @@
+//! The items on disk: one table each for what was accepted and what is decided, one for promises. Each write is
+//! one transaction, synced before anything that depends on it is sent.
+//!
+//! `redb` stands in for `sled`, whose syncs use `sync_file_range`, which these machines' disks do not count.
+//! Its files are reached through [`File`], which asks for no locks: the data folder is one process's alone.
+
+use std::fs::{File as OsFile, OpenOptions};
+use std::io;
+use std::net::IpAddr;
+use std::os::unix::fs::FileExt;
+use std::path::Path;
+
+use damsonbeam_market::items::{Ballot, Item, Key};
+use damsonbeam_market::note::{Ip, addr};
+use redb::{Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
+
+use crate::agree::{Keep, Kept};
+
+const ACCEPTED: TableDefinition<&[u8], &[u8]> = TableDefinition::new("accepted");
+const DECIDED: TableDefinition<&[u8], &[u8]> = TableDefinition::new("decided");
+const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
+/// Memory for pages: the items are held by the agreement anyway.
+const CACHE: usize = 4 << 20;
+
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    #[error("{file}: {why}")]
+    File { file: String, why: String },
+    #[error("the store: {0}")]
+    Store(#[from] redb::Error),
+}
+
+/// A file without locks.
+#[derive(Debug)]
+pub struct File(OsFile);
+
+impl StorageBackend for File {
+    fn len(&self) -> io::Result<u64> {
+        Ok(self.0.metadata()?.len())
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        self.0.read_exact_at(out, offset)
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        self.0.set_len(len)
+    }
+
+    fn sync_data(&self) -> io::Result<()> {
+        self.0.sync_all()
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.0.write_all_at(data, offset)
+    }
+}
+
+pub struct Store {
+    db: Database,
+}
+
+/// What else is kept: the coffers known, for a start without a warden.
+pub type Roster = (Vec<Ip>, u32);
+
+fn fail(e: impl Into<redb::Error>) -> Fault {
+    Fault::Store(e.into())
+}
+
+impl Store {
+    /// Opens the store, or makes one.
+    ///
+    /// # Errors
+    /// Where the file can't be opened, or holds no store.
+    pub fn open(dir: &Path) -> Result<Self, Fault> {
+        let path = dir.join("items.redb");
+        let file = |e: io::Error| Fault::File { file: path.display().to_string(), why: e.to_string() };
+        std::fs::create_dir_all(dir).map_err(file)?;
+        let os = OpenOptions::new()
+            .read(true)
+            .write(true)
+            .create(true)
+            .truncate(false)
+            .open(&path)
+            .map_err(file)?;
+        // Its name must outlast a loss of power too.
+        OsFile::open(dir).and_then(|d| d.sync_all()).map_err(file)?;
+        Self::on(File(os))
+    }
+
+    /// # Errors
+    /// Where it holds no store.
+    pub fn on(file: impl StorageBackend) -> Result<Self, Fault> {
+        let db = Database::builder().set_cache_size(CACHE).create_with_backend(file).map_err(fail)?;
+        let write = db.begin_write().map_err(fail)?;
+        write.open_table(ACCEPTED).map_err(fail)?;
+        write.open_table(DECIDED).map_err(fail)?;
+        write.open_table(META).map_err(fail)?;
+        write.commit().map_err(fail)?;
+        Ok(Store { db })
+    }
+
+    /// # Errors
+    /// Where the disk fails, or a record is none.
+    pub fn read(&self) -> Result<(Kept, Roster), Fault> {
+        let mut kept = Kept::default();
+        let mut roster = Roster::default();
+        let read = self.db.begin_read().map_err(fail)?;
+        for (table, to) in [(ACCEPTED, &mut kept.accepted), (DECIDED, &mut kept.decided)] {
+            for row in read.open_table(table).map_err(fail)?.iter().map_err(fail)? {
+                let (_, value) = row.map_err(fail)?;
+                to.merge(decode::<Item>(value.value())?);
+            }
+        }
+        let meta = read.open_table(META).map_err(fail)?;
+        if let Some(v) = meta.get("promised").map_err(fail)? {
+            kept.promised = decode::<Ballot>(v.value())?;
+        }
+        kept.whole = meta.get("whole").map_err(fail)?.is_some();
+        if let Some(v) = meta.get("roster").map_err(fail)? {
+            roster = decode::<Roster>(v.value())?;
+        }
+        Ok((kept, roster))
+    }
+
+    /// All of it, or none.
+    ///
+    /// # Errors
+    /// Where the disk fails: nothing that depends on it may be said then.
+    pub fn keep(&self, all: &[Keep]) -> Result<(), Fault> {
+        let write = self.db.begin_write().map_err(fail)?;
+        {
+            let mut accepted = write.open_table(ACCEPTED).map_err(fail)?;
+            let mut decided = write.open_table(DECIDED).map_err(fail)?;
+            let mut meta = write.open_table(META).map_err(fail)?;
+            for keep in all {
+                match keep {
+                    Keep::Promised(b) => {
+                        drop(meta.insert("promised", &bitcode::encode(b)[..]).map_err(fail)?)
+                    }
+                    Keep::Whole => drop(meta.insert("whole", &[1u8][..]).map_err(fail)?),
+                    Keep::Accepted(items) => {
+                        for i in items {
+                            accepted.insert(&key(&i.key)[..], &bitcode::encode(i)[..]).map_err(fail)?;
+                        }
+                    }
+                    Keep::Decided(items) => {
+                        for i in items {
+                            decided.insert(&key(&i.key)[..], &bitcode::encode(i)[..]).map_err(fail)?;
+                        }
+                    }
+                }
+            }
+        }
+        write.commit().map_err(fail)
+    }
+
+    /// # Errors
+    /// Where the disk fails.
+    pub fn keep_roster(&self, roster: &Roster) -> Result<(), Fault> {
+        let write = self.db.begin_write().map_err(fail)?;
+        write.open_table(META).map_err(fail)?.insert("roster", &bitcode::encode(roster)[..]).map_err(fail)?;
+        write.commit().map_err(fail)
+    }
+}
+
+fn key(k: &Key) -> Vec<u8> {
+    let mut out = vec![k.kind as u8];
+    out.extend_from_slice(k.name.as_bytes());
+    out
+}
+
+fn decode<T: for<'a> bitcode::Decode<'a>>(bytes: &[u8]) -> Result<T, Fault> {
+    bitcode::decode(bytes)
+        .map_err(|e| Fault::File { file: "items.redb".into(), why: format!("a record: {e}") })
+}
+
+/// The addresses of a roster.
+pub fn addrs(roster: &Roster) -> Vec<IpAddr> {
+    roster.0.iter().map(|ip| addr(*ip)).collect()
+}
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -6,13 +6,13 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
-use damsonbeam::interface::{Outcome, Report, Settings};
+use damsonbeam::interface::{Outcome, Report};
 use damsonbeam_admin::{Figures, IntCounter};
-use damsonbeam_settings::Facts;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use hyper::body::Body;
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -151,50 +151,101 @@
 /// Idle connections to one backend: the one used last goes out first; the oldest stand in front.
 type Pool = RefCell<Vec<(Conn, Instant)>>;
 
+/// What backends speak, by the deployment's protocol.
+pub trait Back {
+    /// What a request to a backend says besides what its client said.
+    fn address(&self, headers: &mut HeaderMap, wait: Duration, backend: &str);
+    /// How a delivery ended that was answered so.
+    fn outcome(&self, asked: &HeaderMap, status: StatusCode, headers: &HeaderMap) -> Outcome;
+    /// Whether an answer may go to the client where no better one comes.
+    fn passes(&self, outcome: Outcome, status: StatusCode, headers: &HeaderMap) -> bool;
+    /// Leaves of an answer's headers what is the client's.
+    fn strip(&self, headers: &mut HeaderMap);
+    /// How long an idle connection may be kept, where an answer says.
+    fn keep(&self, headers: &HeaderMap) -> Option<Duration>;
+}
+
+/// What the backends of the deployments in service speak.
+pub struct Platform;
+
+impl Back for Platform {
+    fn address(&self, headers: &mut HeaderMap, wait: Duration, _: &str) {
+        headers.insert(&TIME_LEFT, HeaderValue::from(wait.as_millis() as u64));
+    }
+
+    fn outcome(&self, _: &HeaderMap, status: StatusCode, headers: &HeaderMap) -> Outcome {
+        let unprocessed = headers.get(&UNPROCESSED).is_some_and(|v| v == "1");
+        match status {
+            StatusCode::OK => Outcome::Ok,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => Outcome::Full,
+            // Any other answer leaves open whether it ran.
+            _ => Outcome::Failed,
+        }
+    }
+
+    fn passes(&self, outcome: Outcome, _: StatusCode, _: &HeaderMap) -> bool {
+        outcome == Outcome::Ok
+    }
+
+    fn strip(&self, headers: &mut HeaderMap) {
+        end_to_end(headers, "");
+        headers.remove(&LOAD);
+    }
+
+    fn keep(&self, _: &HeaderMap) -> Option<Duration> {
+        None
+    }
+}
+
 /// What all backends' actors share.
 pub struct Fleet {
     pub connect_timeout: Duration,
     /// Idle connections are closed after this.
-    pub keep: Duration,
+    pub keep: Cell<Duration>,
     pub reports: Vec<String>,
+    back: Box<dyn Back>,
     /// Connections at most, and those open.
     pub most: usize,
     pub open: Rc<Cell<usize>>,
     /// The pools of all backends.
-    pools: RefCell<Vec<Weak<Pool>>>,
+    pools: RefCell<Vec<(String, Weak<Pool>)>>,
     figures: Figures,
     rooms: Rooms,
-    pub module: mpsc::Sender<ToModule>,
 }
 
 impl Fleet {
     pub fn new(
-        settings: &Settings,
-        facts: &Facts,
+        connect_timeout: Duration,
+        idle: Duration,
+        reports: Vec<String>,
+        back: Box<dyn Back>,
         most: usize,
         bodies: usize,
         figures: &Figures,
-        module: mpsc::Sender<ToModule>,
     ) -> Rc<Self> {
         Rc::new(Fleet {
-            connect_timeout: settings.limits.connect_timeout,
-            keep: Duration::from_nanos(facts.ceilings.conn_idle_ns) * IDLE_PART.0 / IDLE_PART.1,
-            reports: facts.report.names.clone(),
+            connect_timeout,
+            keep: Cell::new(idle * IDLE_PART.0 / IDLE_PART.1),
+            reports,
+            back,
             most,
             open: Rc::default(),
             pools: RefCell::default(),
             figures: figures.clone(),
             rooms: Rooms::new(bodies),
-            module,
         })
     }
 
-    fn pool(&self) -> Rc<Pool> {
-        let pool = Rc::<Pool>::default();
+    /// The pool of a backend: actors of one name share one.
+    fn pool(&self, name: &str) -> Rc<Pool> {
         let mut pools = self.pools.borrow_mut();
-        pools.retain(|p| p.strong_count() > 0);
-        pools.push(Rc::downgrade(&pool));
-        pool
+        pools.retain(|p| p.1.strong_count() > 0);
+        let known = pools.iter().find(|p| !name.is_empty() && p.0 == name).and_then(|p| p.1.upgrade());
+        known.unwrap_or_else(|| {
+            let pool = Rc::<Pool>::default();
+            pools.push((name.to_owned(), Rc::downgrade(&pool)));
+            pool
+        })
     }
 
     /// Room for a connection more: at the cap, the one idle longest is let go, whichever backend's it is.
@@ -202,7 +253,7 @@
     async fn room(&self) -> bool {
         let oldest = |p: &Rc<Pool>| p.borrow().first().map(|(_, at)| *at);
         if self.open.get() >= self.most {
-            let pools: Vec<_> = self.pools.borrow().iter().filter_map(Weak::upgrade).collect();
+            let pools: Vec<_> = self.pools.borrow().iter().filter_map(|p| p.1.upgrade()).collect();
             let idle = pools.iter().filter(|p| oldest(p).is_some()).min_by_key(|p| oldest(p));
             idle.into_iter().for_each(|p| drop(p.borrow_mut().remove(0)));
             for _ in 0..TURNS {
@@ -218,6 +269,7 @@
 
 pub struct Backend {
     pub at: SocketAddr,
+    pub name: Arc<str>,
     pub fleet: Rc<Fleet>,
     /// It drains or is gone: what is not written yet is not written any more.
     pub shut: Rc<Cell<bool>>,
@@ -226,17 +278,17 @@
 
 impl Backend {
     /// Starts a backend's actor; the module reaches it by what comes back.
-    pub fn hire(fleet: &Rc<Fleet>, at: SocketAddr) -> Peer {
+    pub fn hire(fleet: &Rc<Fleet>, at: SocketAddr, name: &Arc<str>) -> Peer {
         let (to, mailbox) = mpsc::channel(JOBS);
         let shut = Rc::<Cell<bool>>::default();
-        let backend = Backend { at, fleet: fleet.clone(), shut: shut.clone(), mailbox };
+        let backend = Backend { at, name: name.clone(), fleet: fleet.clone(), shut: shut.clone(), mailbox };
         tokio::task::spawn_local(backend.run());
         Peer { at, mailbox: to, shut }
     }
 
     /// Until the mailbox is closed and all deliveries have ended.
     pub async fn run(mut self) {
-        let pool = self.fleet.pool();
+        let pool = self.fleet.pool(&self.name);
         let mut running = FuturesUnordered::new();
         let expiry = sleep_until(Instant::now());
         tokio::pin!(expiry);
@@ -249,17 +301,17 @@
                         pool.borrow_mut().push((conn, Instant::now()));
                         if !armed {
                             armed = true;
-                            expiry.as_mut().reset(Instant::now() + self.fleet.keep);
+                            expiry.as_mut().reset(Instant::now() + self.fleet.keep.get());
                         }
                     }
                 }
                 mail = self.mailbox.recv(), if open => match mail {
                     Some(ToBackend::Deliver(job)) => {
-                        let keep = self.fleet.keep;
+                        let keep = self.fleet.keep.get();
                         let conn = std::iter::from_fn(|| pool.borrow_mut().pop())
                             .find_map(|(conn, at)| (at.elapsed() < keep && conn.clean()).then_some(conn));
                         let shut = self.shut.clone();
-                        running.push(deliver(self.fleet.clone(), self.at, shut, conn, job));
+                        running.push(deliver(self.fleet.clone(), (self.at, self.name.clone()), shut, conn, job));
                     }
                     Some(ToBackend::CloseIdle) => pool.borrow_mut().clear(),
                     None => {
@@ -268,7 +320,7 @@
                     }
                 },
                 () = &mut expiry, if armed => {
-                    let (keep, mut idle) = (self.fleet.keep, pool.borrow_mut());
+                    let (keep, mut idle) = (self.fleet.keep.get(), pool.borrow_mut());
                     idle.retain(|(conn, at)| !conn.send.is_closed() && at.elapsed() < keep);
                     armed = !idle.is_empty();
                     if let Some((_, at)) = idle.first() {
@@ -302,14 +354,14 @@
 /// One delivery; its connection comes back if it can carry another.
 async fn deliver(
     fleet: Rc<Fleet>,
-    at: SocketAddr,
+    (at, name): (SocketAddr, Arc<str>),
     shut: Rc<Cell<bool>>,
     conn: Option<Conn>,
     job: Job,
 ) -> Option<Conn> {
     let tell = |outcome, reply, report| {
         let done = Done { inv: job.inv, no: job.no, outcome, reply, report };
-        let module = fleet.module.clone();
+        let module = job.to.clone();
         async move { module.send(ToModule::Done(done)).await.ok() }
     };
     let conn = match conn {
@@ -337,7 +389,7 @@
     // Of a body whose length is not known, none can be told to be the last byte but by its end.
     conn.meter.begin(job.ask.body.length().map_or(usize::MAX, |n| n as usize));
     let coming = job.ask.body.coming();
-    let answer = match conn.send.send_request(request(&job)).await {
+    let answer = match conn.send.send_request(request(&job, &*fleet.back, &name)).await {
         Ok(answer) => read(&fleet.rooms, answer).await,
         Err(e) => Err(e.to_string()),
     };
@@ -347,19 +399,25 @@
     }
     // What has gone to a backend and is not held goes to no other.
     if coming.is_some_and(|c| c.spent()) {
-        fleet.module.send(ToModule::Spent { inv: job.inv }).await.ok();
+        job.to.send(ToModule::Spent { inv: job.inv }).await.ok();
     }
     match answer {
         Ok((status, mut headers, body, end)) => {
             *job.line.socket.borrow_mut() = Weak::new();
             let report = report(&headers, &fleet.reports);
-            let outcome = outcome(status, &headers);
+            let outcome = fleet.back.outcome(&job.ask.headers, status, &headers);
+            fleet.back.keep(&headers).into_iter().for_each(|k| fleet.keep.set(k * IDLE_PART.0 / IDLE_PART.1));
             let close = headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
-            let reply = (outcome == Outcome::Ok).then(|| {
-                end_to_end(&mut headers, "");
-                headers.remove(&LOAD);
-                Reply { headers, body }
+            let reply = fleet.back.passes(outcome, status, &headers).then(|| {
+                fleet.back.strip(&mut headers);
+                Reply { status, headers, body }
             });
+            if outcome == Outcome::Reset {
+                // It belongs to another request, and so may whatever follows it.
+                job.line.give_up();
+                tell(outcome, None, vec![]).await;
+                return None;
+            }
             tell(outcome, reply, report).await;
             if let Some(end) = end
                 && end.await != Ok(End::Whole)
@@ -382,12 +440,12 @@
     }
 }
 
-fn request(job: &Job) -> Request<Upload> {
+fn request(job: &Job, back: &dyn Back, name: &str) -> Request<Upload> {
     let mut request = Request::new(Upload::new(&job.ask.body));
     *request.method_mut() = job.ask.method.clone();
     *request.uri_mut() = job.ask.uri.clone();
     *request.headers_mut() = job.ask.headers.clone();
-    request.headers_mut().insert(&TIME_LEFT, HeaderValue::from(job.wait.as_millis() as u64));
+    back.address(request.headers_mut(), job.wait, name);
     request
 }
 
@@ -425,16 +483,6 @@
     Ok((head.status, head.headers, Given::Through(Box::new(through)), Some(end)))
 }
 
-fn outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
-    let unprocessed = headers.get(&UNPROCESSED).is_some_and(|v| v == "1");
-    match status {
-        StatusCode::OK => Outcome::Ok,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => Outcome::Full,
-        // Any other answer leaves open whether it ran.
-        _ => Outcome::Failed,
-    }
-}
-
 /// The values of a load report in the settings' order; none if it isn't whole.
 fn report(headers: &HeaderMap, names: &[String]) -> Report {
     let Some(text) = headers.get(&LOAD).filter(|_| !names.is_empty()) else { return vec![] };
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -1,22 +1,22 @@
 //! The clients: a listener, tower services over hyper's connections, and the registry of those connections.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::str::FromStr;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use damsonbeam::interface::{CustomerId, GatewayId, InvId, Invocation, OpId, PlanId, Repeat, Settings};
+use damsonbeam::interface::{InvId, Invocation};
 use damsonbeam_admin::Figures;
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::header::{CONNECTION, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -29,7 +29,6 @@
 use tower::Service;
 
 use crate::admission::{Admission, Idle, Next, TURN};
-use crate::backends::{ID, TIME_LEFT, end_to_end};
 use crate::bodies::{self, CLIENT_SILENT, Coming, End, Given, Load};
 use crate::clock::Clock;
 use crate::heads::Heads;
@@ -41,8 +40,6 @@
 
 /// Pause after a failed accept: descriptors do not come free any sooner by asking.
 const PAUSE: Duration = Duration::from_millis(20);
-/// A client that says it waits longer is not believed.
-const WAIT: Duration = Duration::from_secs(24 * 3600);
 /// In this time a head comes whole: from the connection's start, later from its own first byte. Usual
 /// clients need a fraction, some 2 s; one that says nothing, or never ends, is owed a close within 3 s.
 const WHOLE: Duration = Duration::from_millis(2600);
@@ -61,10 +58,10 @@
 /// A connection without a request is closed after this: some clients ask once and hold it for good, and the
 /// platform allows it from 2 s on.
 const QUIET: Duration = TURN;
-/// Bytes of an invocation's name at most.
-const NAME: usize = 64;
 
-type Reply200 = Response<Given>;
+pub type Reply200 = Response<Given>;
+/// An answer to what is no invocation.
+pub type Turned = Box<Reply200>;
 type Answering = Pin<Box<dyn Future<Output = Result<Reply200, Infallible>>>>;
 
 /// What a client's connection waits for.
@@ -101,6 +98,7 @@
     given: Cell<bool>,
     /// Its request's body was not read to the end: its answer ends the connection.
     unread: Cell<bool>,
+    patience: Rc<Cell<Patience>>,
 }
 
 impl Conn {
@@ -117,13 +115,13 @@
     /// When its client's time for this stand is over.
     fn due(&self) -> Option<Duration> {
         match self.stand.get() {
-            Stand::New | Stand::Asking => Some(self.since.get() + WHOLE),
+            Stand::New | Stand::Asking => Some(self.since.get() + self.patience.get().whole),
             Stand::Giving => {
                 let paid = Duration::from_millis(self.came.get() * 1000 / SLOWEST);
                 Some((self.since.get() + CLIENT_SILENT).min(self.began.get() + SLOW_FOR + paid))
             }
             Stand::Taking => Some(self.since.get() + UNREAD),
-            Stand::Quiet => Some(self.since.get() + QUIET),
+            Stand::Quiet => Some(self.since.get() + self.patience.get().quiet),
             Stand::Held => None,
         }
     }
@@ -203,34 +201,40 @@
     }
 }
 
-/// How an operation is asked for.
-struct Operation {
-    op: OpId,
-    idempotent: bool,
-    integration_timeout: Duration,
+/// What clients speak, by the deployment's protocol: how a request is read and an answer written.
+pub trait Front {
+    /// Whether a request asks if the gateway is up.
+    fn asks_up(&self, uri: &hyper::Uri) -> bool;
+    /// The name by which the figures count a request.
+    fn named(&self, uri: &hyper::Uri) -> Option<Arc<str>>;
+    /// What a request says, if all of it can be used; else the answer it gets.
+    ///
+    /// # Errors
+    /// The answer.
+    fn decode(&self, inv: InvId, head: &Parts) -> Result<Decoded, Turned>;
+    fn encode(&self, answer: Answer) -> Reply200;
 }
 
-/// What requests are decoded by: the settings' names and bounds.
-struct Book {
-    operations: HashMap<Arc<str>, Operation>,
-    plans: HashMap<Arc<str>, PlanId>,
-    most_units: f64,
-    gateways: u32,
+/// A request that can be used: what the module is told, its name, how long its client waits from its last byte
+/// on, the headers that go on, and the module that decides on it.
+pub struct Decoded {
+    pub told: Invocation,
+    pub name: String,
+    pub left: Duration,
+    pub headers: HeaderMap,
+    pub to: mpsc::Sender<ToModule>,
 }
 
-impl Book {
-    fn new(settings: &Settings) -> Self {
-        let operation = |op: &OpId| {
-            let o = &settings.operations[op.0];
-            let (idempotent, integration_timeout) = (o.repeat == Repeat::Idempotent, o.integration_timeout);
-            (o.name.clone(), Operation { op: *op, idempotent, integration_timeout })
-        };
-        Book {
-            operations: settings.in_force.operations.iter().map(operation).collect(),
-            plans: settings.in_force.plans.iter().map(|p| (settings.plans[p.0].name.clone(), *p)).collect(),
-            most_units: if settings.most_units > 0.0 { settings.most_units } else { f64::MAX },
-            gateways: settings.gateways,
-        }
+/// In these times a head comes whole, and a connection without a request stays open.
+#[derive(Clone, Copy)]
+pub struct Patience {
+    pub whole: Duration,
+    pub quiet: Duration,
+}
+
+impl Default for Patience {
+    fn default() -> Self {
+        Patience { whole: WHOLE, quiet: QUIET }
     }
 }
 
@@ -238,8 +242,8 @@
     clock: Clock,
     now: Now,
     figures: Figures,
-    module: mpsc::Sender<ToModule>,
-    book: RefCell<Rc<Book>>,
+    front: Rc<dyn Front>,
+    patience: Rc<Cell<Patience>>,
     /// Connections at most, now and alone.
     most: Cell<usize>,
     all: usize,
@@ -257,21 +261,19 @@
 
 impl Clients {
     pub fn new(
-        settings: &Settings,
+        front: Rc<dyn Front>,
         most: usize,
         bodies: usize,
         clock: Clock,
         now: Now,
         figures: &Figures,
-        to: mpsc::Sender<ToModule>,
     ) -> Self {
-        settings.operations.iter().for_each(|o| figures.name(&o.name));
         Clients {
             clock,
             now,
             figures: figures.clone(),
-            module: to,
-            book: RefCell::new(Rc::new(Book::new(settings))),
+            front,
+            patience: Rc::default(),
             most: Cell::new(most),
             all: most,
             bodies: Rooms::new(bodies),
@@ -284,10 +286,14 @@
         }
     }
 
-    /// New settings: requests are decoded by them from now on. The module must have them first.
-    pub fn settle(&self, settings: &Settings) {
-        settings.operations.iter().for_each(|o| self.figures.name(&o.name));
-        *self.book.borrow_mut() = Rc::new(Book::new(settings));
+    /// How long clients may take from now on.
+    pub fn wait(&self, patience: Patience) {
+        self.patience.set(patience);
+    }
+
+    /// Connections with an answer still owed.
+    pub fn owed(&self) -> usize {
+        self.conns.borrow().values().filter(|c| !c.is_free()).count()
     }
 
     /// Two processes are one gateway: until the other has ended, half of the connections are its.
@@ -353,6 +359,7 @@
             at_once: Cell::new(false),
             given: Cell::new(false),
             unread: Cell::new(false),
+            patience: self.patience.clone(),
         });
         self.conns.borrow_mut().insert(id, conn.clone());
         self.served.set(self.served.get() + 1);
@@ -443,86 +450,6 @@
             self.gone.notified().await;
         }
     }
-
-    /// The operation that a request names, if the settings have it.
-    fn named(&self, uri: &hyper::Uri) -> Option<Arc<str>> {
-        let name = uri.path().strip_prefix('/')?.split('/').next()?;
-        Some(self.book.borrow().operations.get_key_value(name)?.0.clone())
-    }
-
-    /// What a request says, if all of it can be used.
-    fn decode(&self, method: &Method, uri: &hyper::Uri, headers: &HeaderMap) -> Option<Decoded> {
-        let plain = uri.scheme().is_none() && uri.authority().is_none();
-        let operation = uri.path().strip_prefix('/').filter(|_| plain)?.split('/').next()?;
-        let book = self.book.borrow().clone();
-        let asked = book.operations.get(operation)?;
-        if asked.idempotent != (method == Method::GET) || matches!(*method, Method::HEAD | Method::CONNECT) {
-            return None;
-        }
-        let plan = one(headers, "x-tariff")?;
-        let plan = *book.plans.get(plan)?;
-        let name = one(headers, ID.as_str())?;
-        let customer = one(headers, "x-subscriber")?;
-        let hex = customer.len() == 16 && customer.bytes().all(|b| b.is_ascii_hexdigit());
-        let known = hex && u64::from_str_radix(customer, 16).is_ok_and(|c| c < 1 << 33);
-        let left = Duration::from_millis(number(one(headers, TIME_LEFT.as_str())?)?);
-        let (mut units, mut spread, mut first) = (None, None, None);
-        for field in one(headers, "x-weight")?.split(',') {
-            let (name, value) = field.trim().split_once('=')?;
-            // Said twice, another may read it the other way.
-            let again = match name {
-                "units" => units.replace(number::<f64>(value)?).is_some(),
-                "spread" => spread.replace(number::<u32>(value)?).is_some(),
-                "first" => first.replace(number::<u32>(value)?).is_some(),
-                _ => false,
-            };
-            if again {
-                return None;
-            }
-        }
-        let (units, spread, first) = (units?, spread?, first?);
-        let set = (1..=book.gateways).contains(&spread) && first < book.gateways;
-        let named = (1..=NAME).contains(&name.len());
-        if !(known && set && named && units > 0.0 && units <= book.most_units && left <= WAIT) {
-            return None;
-        }
-        let told = Invocation {
-            inv: InvId(self.next.replace(self.next.get() + 1)),
-            deadline: Duration::ZERO,
-            op: asked.op,
-            plan,
-            customer: CustomerId(customer.to_ascii_lowercase().into()),
-            units,
-            first_gateway: GatewayId(first),
-            spread,
-            write: false,
-            repeat: one(headers, "x-repeat") == Some("1"),
-            coming: false,
-        };
-        // No client waits longer than its operation's time, whatever it says.
-        Some(Decoded { told, name: name.to_owned(), left: left.min(asked.integration_timeout) })
-    }
-}
-
-/// A request that can be used: what the module is told, its name, and how long its client waits from its
-/// last byte on.
-struct Decoded {
-    told: Invocation,
-    name: String,
-    left: Duration,
-}
-
-/// A header that is there once: of two, another on the way may take the other.
-fn one<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    let mut all = headers.get_all(name).iter();
-    let value = all.next()?.to_str().ok()?.trim();
-    all.next().is_none().then_some(value)
-}
-
-/// Plain decimal: no sign, no exponent, no `inf`.
-fn number<T: FromStr>(text: &str) -> Option<T> {
-    let plain = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
-    text.parse().ok().filter(|_| plain)
 }
 
 /// First layer: the program's phases and the connection's, `/up`, and answers to what comes beyond the cap.
@@ -543,11 +470,11 @@
 
     fn call(&mut self, request: Request<Incoming>) -> Answering {
         let (conn, full, clients) = (self.inner.conn.clone(), self.full, self.inner.clients.clone());
-        let up = request.uri().path() == "/up";
+        let up = clients.front.asks_up(request.uri());
         let both = conn.heads.borrow().both();
         // Where the next head starts is not known after one.
         let chunked = request.headers().contains_key(TRANSFER_ENCODING);
-        let named = clients.named(request.uri());
+        let named = clients.front.named(request.uri());
         let inner = (!up && !full && !both).then(|| self.inner.call(request));
         Box::pin(async move {
             let mut answer = match inner {
@@ -590,7 +517,7 @@
 
     fn call(&mut self, request: Request<Incoming>) -> Answering {
         let (clients, conn) = (self.clients.clone(), self.conn.clone());
-        Box::pin(async move { Ok(clients.invoke(&conn, request).await.unwrap_or_else(plain)) })
+        Box::pin(async move { Ok(clients.invoke(&conn, request).await.unwrap_or_else(|answer| *answer)) })
     }
 }
 
@@ -619,14 +546,11 @@
     }
 
     /// An invocation's answer, or why the request is none.
-    async fn invoke(&self, conn: &Conn, request: Request<Incoming>) -> Result<Reply200, StatusCode> {
+    async fn invoke(&self, conn: &Conn, request: Request<Incoming>) -> Result<Reply200, Turned> {
         let (head, body) = request.into_parts();
-        let Some(Decoded { mut told, name, left }) = self.decode(&head.method, &head.uri, &head.headers)
-        else {
-            log!(warn, "invocation-malformed", "{} {}", head.method, head.uri);
-            return Err(StatusCode::BAD_REQUEST);
-        };
-        let body = self.body(conn, &head.method, body, told.inv, left).await?;
+        let inv = InvId(self.next.replace(self.next.get() + 1));
+        let Decoded { mut told, name, left, headers, to } = self.front.decode(inv, &head)?;
+        let body = self.body(conn, &head.method, body, told.inv, left, &to).await.map_err(turned)?;
         told.coming = body.coming().is_some();
         // Its client's time runs from its last byte.
         let came = self.clock.now();
@@ -634,20 +558,18 @@
         // Two of a name would share one effect, and each would get the other's answer.
         if !self.open.borrow_mut().insert(name.clone()) {
             log!(warn, "invocation-twice", "{name}");
-            return Err(StatusCode::CONFLICT);
+            return Err(turned(StatusCode::CONFLICT));
         }
         self.figures.current.inc();
-        let mut held = Held { inv: told.inv, name, clients: self, answered: false };
+        let mut held = Held { inv: told.inv, name, clients: self, to: to.clone(), answered: false };
         conn.proven.set(true);
         conn.turn(Stand::Held, Duration::ZERO);
-        let mut headers = head.headers;
-        end_to_end(&mut headers, &held.name);
         let coming = body.coming().cloned();
         let ask = Rc::new(Ask { method: head.method, uri: head.uri, headers, body });
         let (answer, answered) = oneshot::channel();
-        if self.module.send(ToModule::Invocation { told, left, ask, answer }).await.is_err() {
+        if to.send(ToModule::Invocation { told, left, ask, answer }).await.is_err() {
             held.answered = true;
-            return Err(StatusCode::SERVICE_UNAVAILABLE);
+            return Err(turned(StatusCode::SERVICE_UNAVAILABLE));
         }
         let answer = answered.await.unwrap_or(Answer::Errored);
         held.answered = true;
@@ -656,7 +578,7 @@
             conn.unread.set(true);
             tokio::task::spawn_local(async move { coming.drain().await });
         }
-        Ok(encode(answer))
+        Ok(self.front.encode(answer))
     }
 
     /// A request's body: whole where it is small, else its start and what still comes.
@@ -667,6 +589,7 @@
         mut body: Incoming,
         inv: InvId,
         left: Duration,
+        to: &mpsc::Sender<ToModule>,
     ) -> Result<Load, StatusCode> {
         if body.is_end_stream() {
             return Ok(Load::Whole(bytes::Bytes::new()));
@@ -691,7 +614,7 @@
         if whole {
             return Ok(Load::Whole(first));
         }
-        let (module, clock) = (self.module.clone(), self.clock);
+        let (module, clock) = (to.clone(), self.clock);
         let whole = move || {
             let told = ToModule::Whole { inv, deadline: clock.now() + left };
             if let Err(mpsc::error::TrySendError::Full(told)) = module.try_send(told) {
@@ -707,6 +630,7 @@
     inv: InvId,
     name: String,
     clients: &'a Clients,
+    to: mpsc::Sender<ToModule>,
     answered: bool,
 }
 
@@ -718,35 +642,21 @@
             return;
         }
         let left = ToModule::Left { inv: self.inv };
-        if let Err(mpsc::error::TrySendError::Full(left)) = self.clients.module.try_send(left) {
-            let module = self.clients.module.clone();
+        if let Err(mpsc::error::TrySendError::Full(left)) = self.to.try_send(left) {
+            let module = self.to.clone();
             tokio::task::spawn_local(async move { module.send(left).await.ok() });
         }
     }
 }
 
-fn plain(status: StatusCode) -> Reply200 {
+/// The same, for what is no invocation.
+pub fn turned(status: StatusCode) -> Turned {
+    Box::new(plain(status))
+}
+
+/// An answer of the gateway's own.
+pub fn plain(status: StatusCode) -> Reply200 {
     let mut answer = Response::new(Given::Whole(None));
     *answer.status_mut() = status;
     answer
 }
-
-fn encode(answer: Answer) -> Reply200 {
-    match answer {
-        Answer::Succeeded(reply) => {
-            let mut answer = Response::new(reply.body);
-            *answer.headers_mut() = reply.headers;
-            answer
-        }
-        Answer::Throttled(after) => {
-            let mut answer = plain(StatusCode::TOO_MANY_REQUESTS);
-            if let Some(after) = after
-                && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", after.as_secs_f64()))
-            {
-                answer.headers_mut().insert(RETRY_AFTER, value);
-            }
-            answer
-        }
-        Answer::Errored => plain(StatusCode::BAD_GATEWAY),
-    }
-}
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -14,6 +14,11 @@
         Clock { unix, start: Instant::now() }
     }
 
+    /// A clock that says `unix` now.
+    pub fn at(unix: Duration) -> Self {
+        Clock { unix, start: Instant::now() }
+    }
+
     pub fn now(&self) -> Duration {
         self.unix + self.start.elapsed()
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod config;
 pub mod counter;
+pub mod front;
 pub mod handover;
 pub mod heads;
 pub mod life;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -21,11 +21,12 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout, timeout_at};
 
 use crate::account::Account;
-use crate::backends::{Backend, Fleet};
+use crate::backends::{Backend, Fleet, Platform};
 use crate::clients::Clients;
 use crate::clock::Clock;
 use crate::config::{Config, Places};
 use crate::counter::Counter;
+use crate::front::Tariffs;
 use crate::handover::{self, Link, Seat};
 use crate::list::{List, Numbers, Page};
 use crate::log::log;
@@ -64,6 +65,7 @@
 struct Running {
     name: String,
     clients: Rc<Clients>,
+    front: Rc<Tariffs>,
     listener: Rc<TcpListener>,
     /// None while another process accepts in this one's place.
     accepting: Option<JoinHandle<()>>,
@@ -285,23 +287,17 @@
         let (to_module, mailbox) = mpsc::channel(MODULE_ROOM);
         let places = config.places;
         let fleet = Fleet::new(
-            &config.settings,
-            &config.facts,
+            config.settings.limits.connect_timeout,
+            Duration::from_nanos(config.facts.ceilings.conn_idle_ns),
+            config.facts.report.names.clone(),
+            Box::new(Platform),
             config.backends,
             config.bodies,
             &figures,
-            to_module.clone(),
         );
         let now = self.now.clone();
-        let clients = Clients::new(
-            &config.settings,
-            config.clients,
-            config.bodies,
-            clock,
-            now,
-            &figures,
-            to_module.clone(),
-        );
+        let front = Rc::new(Tariffs::new(&config.settings, &figures, to_module.clone()));
+        let clients = Clients::new(front.clone(), config.clients, config.bodies, clock, now, &figures);
         let clients = Rc::new(clients);
         let (limits, facts) = (&config.settings.limits, config.facts);
         let actors = FuturesUnordered::new();
@@ -341,7 +337,9 @@
             rules: Rules::new(config.seed, config.settings, clock.now()),
             clock,
             mailbox,
-            hire: Box::new(move |at| Backend::hire(&fleet, at)),
+            hire: Box::new(move |at, name| Backend::hire(&fleet, at, name)),
+            me: to_module.clone(),
+            guard: None,
             counter: counter.clone(),
             list: to_list.clone(),
             peers,
@@ -370,6 +368,7 @@
         let mut running = Running {
             name: config.name,
             clients,
+            front,
             listener: Rc::new(listener),
             accepting: None,
             module: to_module,
@@ -490,7 +489,7 @@
         // The module first: what is decoded by the new names is told in their positions.
         let settings = Box::new(self.settings.clone());
         self.module.send(ToModule::Settings(settings)).await.map_err(|e| e.to_string())?;
-        self.clients.settle(&self.settings);
+        self.front.settle(&self.settings);
         if new.discovery != old.discovery {
             self.list.send(ToList::Move(new.discovery)).await.map_err(|e| e.to_string())?;
         }
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -135,7 +135,7 @@
             let stay: HashSet<_> = stay.into_iter().map(|(id, _)| id).collect();
             self.ids.retain(|id, _| stay.contains(id));
         }
-        Listed { form, entries, addrs }
+        Listed { form, entries, addrs, names: vec![] }
     }
 }
 
@@ -221,7 +221,12 @@
                     log!(warn, "list-unavailable", "{}: {why}; the last list stays", self.at);
                     if self.mode == Discovery::Subscribed {
                         watching = false;
-                        let none = Listed { form: ListForm::Unavailable, entries: [].into(), addrs: vec![] };
+                        let none = Listed {
+                            form: ListForm::Unavailable,
+                            entries: [].into(),
+                            addrs: vec![],
+                            names: vec![],
+                        };
                         if self.module.send(ToModule::Listed(none)).await.is_err() {
                             return;
                         }
--- a/crates/gateway/src/mail.rs
+++ b/crates/gateway/src/mail.rs
@@ -8,7 +8,7 @@
 
 use damsonbeam::interface::*;
 use hyper::header::HeaderMap;
-use hyper::{Method, Uri};
+use hyper::{Method, StatusCode, Uri};
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
@@ -58,7 +58,12 @@
 /// The one final answer of an invocation.
 pub enum Answer {
     Succeeded(Reply),
-    Throttled(Option<Duration>),
+    /// When to come back; whether none of its deliveries has run or will.
+    Throttled {
+        after: Option<Duration>,
+        why: Why,
+        clean: bool,
+    },
     Errored,
 }
 
@@ -72,6 +77,7 @@
 
 /// A backend's answer that goes to the client.
 pub struct Reply {
+    pub status: StatusCode,
     pub headers: HeaderMap,
     pub body: Given,
 }
@@ -89,9 +95,10 @@
     /// How long the gateway will wait.
     pub wait: Duration,
     pub line: Rc<Line>,
+    pub to: mpsc::Sender<ToModule>,
 }
 
-/// How a delivery ended; the reply with a succeeded one.
+/// How a delivery ended; the reply with a succeeded one, or with one that failed and may go to the client.
 pub struct Done {
     pub inv: InvId,
     pub no: DeliveryNo,
@@ -138,6 +145,8 @@
     pub form: ListForm,
     pub entries: Arc<[Entry]>,
     pub addrs: Vec<SocketAddr>,
+    /// By which each backend is told from others that had its address, where the list says.
+    pub names: Vec<Arc<str>>,
 }
 
 /// To the list.
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use damsonbeam::Rules;
@@ -23,6 +24,20 @@
 /// The figures that are looked up, not counted, are this old at most.
 const FIGURES: Duration = Duration::from_millis(200);
 
+/// What deliveries use up that all gateways share: looked at before each, decided elsewhere.
+pub trait Guard {
+    /// Whether one may go beyond its invocation's first.
+    fn again(&mut self, now: Duration) -> bool;
+    /// One is to go to that backend.
+    fn sent(&mut self, tgt: TgtId, now: Duration) -> Sent;
+}
+
+/// Whether a delivery goes, and how its backend stands from now on, where that changes.
+pub struct Sent {
+    pub go: bool,
+    pub entry: Option<Entry>,
+}
+
 /// An invocation that is not over, or that has deliveries out.
 struct Held {
     ask: Rc<Ask>,
@@ -30,6 +45,10 @@
     /// While its body comes: how long its client waits from then on.
     coming: Option<Duration>,
     answer: Option<oneshot::Sender<Answer>>,
+    /// A failed delivery's answer, which the client gets where no better one comes.
+    spare: Option<Reply>,
+    /// One of its deliveries may have run.
+    ran: bool,
     deliveries: Vec<Option<Out>>,
 }
 
@@ -51,12 +70,19 @@
     Figures,
 }
 
+/// Starts the actor of a backend: where it is, and what it is called.
+pub type Hire = Box<dyn Fn(SocketAddr, &Arc<str>) -> Peer>;
+
 pub struct Module {
     pub rules: Rules,
     pub clock: Clock,
     pub mailbox: mpsc::Receiver<ToModule>,
     /// Starts a backend's actor.
-    pub hire: Box<dyn Fn(SocketAddr) -> Peer>,
+    pub hire: Hire,
+    /// The module's own mailbox, for what its deliveries tell.
+    pub me: mpsc::Sender<ToModule>,
+    /// What all gateways share besides the quotas: where the protocol sets it.
+    pub guard: Option<Box<dyn Guard>>,
     pub counter: Option<mpsc::Sender<ToCounter>>,
     pub list: mpsc::Sender<ToList>,
     pub peers: Option<mpsc::Sender<ToPeers>>,
@@ -156,7 +182,15 @@
         match mail {
             ToModule::Invocation { told, left, ask, answer } => {
                 let (deadline, coming) = (told.deadline, told.coming.then_some(left));
-                let held = Held { ask, deadline, coming, answer: Some(answer), deliveries: Vec::new() };
+                let held = Held {
+                    ask,
+                    deadline,
+                    coming,
+                    answer: Some(answer),
+                    spare: None,
+                    ran: false,
+                    deliveries: Vec::new(),
+                };
                 self.state.held.insert(told.inv, held);
                 self.feed(Event::Invocation(told));
             }
@@ -182,8 +216,10 @@
             ToModule::Done(Done { inv, no, outcome, reply, report }) => {
                 // One that was given up has had its outcome.
                 let Some(out) = self.end(inv, no) else { return };
-                if let Some(reply) = reply {
-                    self.answer(inv, Answer::Succeeded(reply));
+                match (reply, self.state.held.get_mut(&inv)) {
+                    (Some(reply), _) if outcome == Outcome::Ok => self.answer(inv, Answer::Succeeded(reply)),
+                    (spare @ Some(_), Some(held)) => held.spare = spare,
+                    _ => {}
                 }
                 self.tell(inv, no, &out, outcome, report);
             }
@@ -203,16 +239,17 @@
     }
 
     /// Backends have an actor from the first list that names them to the one that has them gone.
-    fn listed(&mut self, Listed { form, entries, addrs }: Listed) {
+    fn listed(&mut self, Listed { form, entries, addrs, names }: Listed) {
+        let unnamed: Arc<str> = "".into();
         if matches!(form, ListForm::Replace | ListForm::Restored) {
             let named: BTreeSet<TgtId> = entries.iter().map(|e| e.tgt).collect();
             self.state.backends.retain(|tgt, _| named.contains(tgt));
         }
-        for (e, at) in entries.iter().zip(addrs) {
+        for (n, (e, at)) in entries.iter().zip(addrs).enumerate() {
             if e.health == Health::Gone {
                 self.state.backends.remove(&e.tgt);
             } else if self.state.backends.get(&e.tgt).is_none_or(|b| b.at != at) {
-                self.state.backends.insert(e.tgt, (self.hire)(at));
+                self.state.backends.insert(e.tgt, (self.hire)(at, names.get(n).unwrap_or(&unnamed)));
             }
             if let Some(peer) = self.state.backends.get(&e.tgt) {
                 peer.shut.set(e.health != Health::Up);
@@ -254,6 +291,7 @@
     }
 
     fn tell(&mut self, inv: InvId, no: DeliveryNo, out: &Out, outcome: Outcome, report: Report) {
+        self.state.held.get_mut(&inv).into_iter().for_each(|h| h.ran |= !outcome.never_ran());
         let event = self.ended(inv, no, out, outcome, report);
         self.feed(event);
         self.tidy(inv);
@@ -308,11 +346,14 @@
                 let when = if sent { "after_delivery" } else { "before_delivery" };
                 self.figures.turned_away.with_label_values(&[when]).inc();
                 self.figures.turned_away_why.with_label_values(&[why.name()]).inc();
-                self.answer(inv, Answer::Throttled(retry_after));
+                let held = self.state.held.get(&inv);
+                let clean = held.is_none_or(|h| !h.ran && h.deliveries.iter().all(Option::is_none));
+                self.answer(inv, Answer::Throttled { after: retry_after, why, clean });
                 self.tidy(inv);
             }
             Action::Error { inv } => {
-                self.answer(inv, Answer::Errored);
+                let spare = self.state.held.get_mut(&inv).and_then(|h| h.spare.take());
+                self.answer(inv, spare.map_or(Answer::Errored, Answer::Succeeded));
                 self.tidy(inv);
             }
             Action::Timer { after, token } => {
@@ -378,8 +419,27 @@
         }
         // While its body comes no client's time runs; the backend is told what will.
         let told = held.coming.unwrap_or(wait);
-        let job = Job { inv, no, ask: held.ask.clone(), wait: told, line };
+        let job = Job { inv, no, ask: held.ask.clone(), wait: told, line, to: self.me.clone() };
+        if let Some(guard) = &mut self.guard {
+            if no.0 > 0 && !guard.again(now) {
+                let held = self.state.held.get_mut(&inv).expect("seen above");
+                held.deliveries.push(None);
+                self.state.next.push_back(Event::Spent { inv });
+                return self.tell_next(inv, no, &out, Outcome::Ignored);
+            }
+            let Sent { go, entry } = guard.sent(tgt, now);
+            if let Some(entry) = entry {
+                let (form, entries) = (ListForm::Update, [entry].into());
+                self.state.next.push_back(Event::Targets { form, entries });
+            }
+            if !go {
+                let held = self.state.held.get_mut(&inv).expect("seen above");
+                held.deliveries.push(None);
+                return self.tell_next(inv, no, &out, Outcome::ConnectFailed);
+            }
+        }
         let sent = self.state.backends.get(&tgt);
+        let held = self.state.held.get_mut(&inv).expect("seen above");
         if sent.is_some_and(|b| b.mailbox.try_send(ToBackend::Deliver(job)).is_ok()) {
             held.deliveries.push(Some(out));
             self.state.due.insert((now + wait, Due::Delivery(inv, no)));
--- /dev/null
+++ b/crates/market/src/items.rs
@@ -0,0 +1,424 @@
+//! The items of a configuration: read from operators' calls, merged item by item, checked as a whole.
+
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
+
+use bitcode::{Decode, Encode};
+use simd_json::prelude::*;
+
+use crate::value::{Value, parse, text};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub enum Kind {
+    Route,
+    Tenant,
+    Service,
+    Limits,
+    /// A zone that is to get nothing: dropped while it may.
+    Evacuation,
+}
+
+/// Lists of a call, and the kind of their items.
+const LISTS: [(&str, Kind); 3] =
+    [("route_list", Kind::Route), ("tenant_list", Kind::Tenant), ("service_list", Kind::Service)];
+
+/// By what an item is told from all others.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub struct Key {
+    pub kind: Kind,
+    pub name: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Item {
+    pub key: Key,
+    pub version: u64,
+    /// The ballot by which it was last proposed: of two of one version, that of the higher ballot stands.
+    pub ballot: Ballot,
+    /// Its JSON text; none where it was dropped: the version stays behind, so that an old call can't bring it back.
+    pub body: Option<Vec<u8>>,
+}
+
+/// Rounds of agreement, in order; no two writers have the same.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub struct Ballot {
+    pub round: u64,
+    pub writer: u64,
+}
+
+/// Why a call is turned down as a whole.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Invalid {
+    #[error("{0}")]
+    Unreadable(String),
+    #[error("{0}: {1}")]
+    Item(String, String),
+}
+
+/// What a call wants set and dropped.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Change {
+    pub items: Vec<Item>,
+}
+
+pub fn version(value: Option<&Value>) -> Option<u64> {
+    value?.as_str()?.strip_prefix('r')?.parse().ok()
+}
+
+impl Change {
+    /// Reads the body of an operator's call.
+    ///
+    /// # Errors
+    /// Where any part of it can't be read.
+    pub fn read(body: Vec<u8>) -> Result<Self, Invalid> {
+        let all = parse(body).map_err(Invalid::Unreadable)?;
+        if !all.is_object() {
+            return Err(Invalid::Unreadable("not an object".into()));
+        }
+        let mut items = Vec::new();
+        if let Some(set) = all.get("upserts") {
+            let set = set.as_object().ok_or_else(|| Invalid::Unreadable("upserts: not an object".into()))?;
+            for (list, v) in set.iter() {
+                if list == "limits" {
+                    items.push(Self::item(Kind::Limits, v, false)?);
+                    continue;
+                }
+                let (kind, all) = Self::list(list, v)?;
+                for v in all {
+                    items.push(Self::item(kind, v, false)?);
+                }
+            }
+        }
+        if let Some(drop) = all.get("removals") {
+            let drop =
+                drop.as_object().ok_or_else(|| Invalid::Unreadable("removals: not an object".into()))?;
+            for (list, v) in drop.iter() {
+                let (kind, all) = Self::list(list, v)?;
+                for v in all {
+                    items.push(Self::item(kind, v, true)?);
+                }
+            }
+        }
+        Ok(Change { items })
+    }
+
+    fn list<'a>(name: &str, v: &'a Value) -> Result<(Kind, &'a Vec<Value>), Invalid> {
+        let kind = LISTS.iter().find(|l| l.0 == name).map(|l| l.1);
+        let kind = kind.ok_or_else(|| Invalid::Unreadable(format!("{name}: no such list")))?;
+        Ok((kind, v.as_array().ok_or_else(|| Invalid::Unreadable(format!("{name}: not a list")))?))
+    }
+
+    fn item(kind: Kind, v: &Value, drop: bool) -> Result<Item, Invalid> {
+        let name = if kind == Kind::Limits { Some("limits") } else { v.get("name").and_then(|n| n.as_str()) };
+        let name = name.ok_or_else(|| Invalid::Unreadable("an item has no name".into()))?;
+        let version = version(v.get("config_version"))
+            .ok_or_else(|| Invalid::Item(name.into(), "config_version: not `r` and a number".into()))?;
+        let key = Key { kind, name: name.into() };
+        let body = (!drop).then(|| text(v));
+        Ok(Item { key, version, ballot: Ballot::default(), body })
+    }
+}
+
+/// All items known, dropped ones too.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Book {
+    pub items: BTreeMap<Key, Item>,
+}
+
+impl Book {
+    /// Takes an item in if it stands above the one known; says whether it did.
+    pub fn merge(&mut self, item: Item) -> bool {
+        match self.items.entry(item.key.clone()) {
+            Entry::Vacant(v) => {
+                v.insert(item);
+                true
+            }
+            Entry::Occupied(mut o) if (o.get().version, o.get().ballot) < (item.version, item.ballot) => {
+                o.insert(item);
+                true
+            }
+            Entry::Occupied(_) => false,
+        }
+    }
+
+    /// Those of a change that would have an effect here: an equal or lower version has none.
+    pub fn news(&self, change: &Change) -> Vec<Item> {
+        let mut out = Book::default();
+        for item in &change.items {
+            if self.items.get(&item.key).is_none_or(|known| known.version < item.version) {
+                out.merge(item.clone());
+            }
+        }
+        out.items.into_values().collect()
+    }
+
+    /// One number for all keys, versions and ballots.
+    pub fn digest(&self) -> u64 {
+        self.items.values().fold(0, |sum, i| sum ^ mark(i))
+    }
+
+    pub fn standing(&self, kind: Kind) -> impl Iterator<Item = &Item> {
+        self.items.values().filter(move |i| i.key.kind == kind && i.body.is_some())
+    }
+
+    /// Whether the whole is one that may be in force.
+    ///
+    /// # Errors
+    /// The first item that clashes.
+    pub fn check(&self) -> Result<(), Invalid> {
+        let mut places = BTreeMap::new();
+        let mut keys = BTreeMap::new();
+        for item in self.standing(Kind::Service) {
+            let v = item.value()?;
+            if v.get("health_path").is_some_and(|p| !p.is_str()) {
+                return Err(Invalid::Item(item.key.name.clone(), "health_path: not a text".into()));
+            }
+        }
+        for item in self.standing(Kind::Route) {
+            let (route, name) = (Route::read(item)?, &item.key.name);
+            for (service, _) in &route.to {
+                let known = self.items.get(&Key { kind: Kind::Service, name: service.clone() });
+                if known.is_none_or(|s| s.body.is_none()) {
+                    return Err(Invalid::Item(name.clone(), format!("target_service: no `{service}`")));
+                }
+            }
+            if let Some(other) = places.insert((route.host, route.prefix), name) {
+                return Err(Invalid::Item(name.clone(), format!("host and prefix are those of `{other}`")));
+            }
+        }
+        for item in self.standing(Kind::Tenant) {
+            let tenant = Tenant::read(item)?;
+            for key in tenant.keys {
+                if let Some(other) = keys.insert(key, &item.key.name)
+                    && other != &item.key.name
+                {
+                    return Err(Invalid::Item(item.key.name.clone(), format!("a key is that of `{other}`")));
+                }
+            }
+        }
+        for item in self.standing(Kind::Limits) {
+            Limits::read(item)?;
+        }
+        Ok(())
+    }
+
+    /// All items that stand, laid out as in the first call's set.
+    pub fn show(&self) -> Vec<u8> {
+        let mut out = Vec::from(b"{");
+        for (n, (list, kind)) in LISTS.into_iter().enumerate() {
+            let bodies: Vec<&[u8]> = self.standing(kind).filter_map(|i| i.body.as_deref()).collect();
+            out.extend_from_slice(if n > 0 { b",\"" } else { b"\"" });
+            out.extend_from_slice(list.as_bytes());
+            out.extend_from_slice(b"\":[");
+            out.extend_from_slice(&bodies.join(&b","[..]));
+            out.push(b']');
+        }
+        if let Some(limits) = self.standing(Kind::Limits).find_map(|i| i.body.as_deref()) {
+            out.extend_from_slice(b",\"limits\":");
+            out.extend_from_slice(limits);
+        }
+        out.push(b'}');
+        out
+    }
+}
+
+/// One number for an item's key, version and ballot.
+pub fn mark(i: &Item) -> u64 {
+    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+    let mut eat = |b: u8| hash = (hash ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+    i.key.name.bytes().for_each(&mut eat);
+    eat(i.key.kind as u8);
+    i.version.to_be_bytes().into_iter().for_each(&mut eat);
+    i.ballot.round.to_be_bytes().into_iter().for_each(&mut eat);
+    i.ballot.writer.to_be_bytes().into_iter().for_each(&mut eat);
+    // Spread out, so that a sum of marks tells sets apart.
+    hash ^= hash >> 32;
+    hash = hash.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    hash ^ hash >> 29
+}
+
+impl Item {
+    /// # Errors
+    /// Where its text is no JSON.
+    pub fn value(&self) -> Result<Value, Invalid> {
+        parse(self.body.clone().unwrap_or_default()).map_err(|e| Invalid::Item(self.key.name.clone(), e))
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum RouteKind {
+    ReadOnly,
+    Mutating,
+    Upload,
+}
+
+/// A route as the proxies read it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    pub name: String,
+    pub host: String,
+    pub prefix: String,
+    pub kind: RouteKind,
+    pub timeout_ms: u64,
+    pub aim_ms: u64,
+    pub priority: i64,
+    /// Services and their weights.
+    pub to: Vec<(String, f64)>,
+    pub attempts: u32,
+    pub open: bool,
+    pub homes: Vec<String>,
+}
+
+/// A tenant as the proxies read it; 0: no limit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tenant {
+    pub name: String,
+    pub keys: Vec<String>,
+    pub rate: f64,
+    pub burst: f64,
+    pub homes: Vec<String>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    pub name: String,
+    pub cold_rate: f64,
+    pub connections: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    pub header_ms: u64,
+    pub idle_ms: u64,
+}
+
+struct Of<'a>(&'a Item, Value);
+
+impl Of<'_> {
+    fn wrong(&self, field: &str, why: &str) -> Invalid {
+        Invalid::Item(self.0.key.name.clone(), format!("{field}: {why}"))
+    }
+
+    fn text(&self, field: &str) -> Result<String, Invalid> {
+        let v = self.1.get(field).and_then(|v| v.as_str());
+        Ok(v.ok_or_else(|| self.wrong(field, "not a text"))?.to_string())
+    }
+
+    fn count(&self, field: &str) -> Result<u64, Invalid> {
+        let v = self
+            .1
+            .get(field)
+            .and_then(|v| v.as_u64().or_else(|| v.as_f64().filter(|f| *f >= 0.0).map(|f| f as u64)));
+        v.ok_or_else(|| self.wrong(field, "not a whole number"))
+    }
+
+    /// A number that may be missing.
+    fn number(&self, field: &str) -> Result<f64, Invalid> {
+        match self.1.get(field) {
+            None => Ok(0.0),
+            Some(v) if v.is_null() => Ok(0.0),
+            Some(v) => {
+                v.cast_f64().filter(|n| *n >= 0.0).ok_or_else(|| self.wrong(field, "not a number from 0 on"))
+            }
+        }
+    }
+
+    fn texts(&self, field: &str) -> Result<Vec<String>, Invalid> {
+        match self.1.get(field) {
+            None => Ok(Vec::new()),
+            Some(v) if v.is_null() => Ok(Vec::new()),
+            Some(v) => {
+                let all = v.as_array().ok_or_else(|| self.wrong(field, "not a list"))?.iter();
+                let all: Option<_> = all.map(|t| Some(t.as_str()?.to_string())).collect();
+                all.ok_or_else(|| self.wrong(field, "not a list of texts"))
+            }
+        }
+    }
+}
+
+impl Route {
+    /// # Errors
+    /// The first field that is missing or wrong.
+    pub fn read(item: &Item) -> Result<Self, Invalid> {
+        let of = Of(item, item.value()?);
+        let kind = match of.text("route_type")?.as_str() {
+            "read_only" => RouteKind::ReadOnly,
+            "mutating" => RouteKind::Mutating,
+            "upload" => RouteKind::Upload,
+            other => return Err(of.wrong("route_type", &format!("no `{other}`"))),
+        };
+        let to = match of.1.get("traffic_split").filter(|s| !s.is_null()) {
+            Some(split) => {
+                let all = split.as_array().ok_or_else(|| of.wrong("traffic_split", "not a list"))?;
+                let part = |p: &Value| {
+                    let weight = p.get("weight")?.cast_f64().filter(|w| *w >= 0.0)?;
+                    Some((p.get("target_service")?.as_str()?.to_string(), weight))
+                };
+                let all: Option<Vec<_>> = all.iter().map(part).collect();
+                all.ok_or_else(|| of.wrong("traffic_split", "a service or a weight is missing"))?
+            }
+            None => vec![(of.text("target_service")?, 1.0)],
+        };
+        if to.iter().map(|t| t.1).sum::<f64>() <= 0.0 {
+            return Err(of.wrong("traffic_split", "all weights are 0"));
+        }
+        let (timeout_ms, aim_ms) = (of.count("timeout_ms")?, of.count("target_latency_ms")?);
+        if timeout_ms == 0 {
+            return Err(of.wrong("timeout_ms", "is 0"));
+        }
+        if aim_ms >= timeout_ms + 60_000 {
+            return Err(of.wrong("target_latency_ms", "is a minute or more above timeout_ms"));
+        }
+        let prefix = of.text("path_prefix")?;
+        if !prefix.starts_with('/') || !prefix.ends_with('/') {
+            return Err(of.wrong("path_prefix", "must start and end with a slash"));
+        }
+        Ok(Route {
+            name: item.key.name.clone(),
+            host: of.text("host_name")?.to_ascii_lowercase(),
+            prefix,
+            kind,
+            timeout_ms,
+            aim_ms,
+            priority: of.1.get("priority").and_then(|p| p.as_i64()).unwrap_or(0),
+            to,
+            attempts: of.number("max_attempts")? as u32,
+            open: of.1.get("public_access").and_then(|p| p.as_bool()).unwrap_or(false),
+            homes: of.texts("serving_regions")?,
+        })
+    }
+}
+
+impl Tenant {
+    /// # Errors
+    /// The first field that is wrong.
+    pub fn read(item: &Item) -> Result<Self, Invalid> {
+        let of = Of(item, item.value()?);
+        Ok(Tenant {
+            name: item.key.name.clone(),
+            keys: of.texts("api_keys")?,
+            rate: of.number("rate_per_s")?,
+            burst: of.number("burst")?,
+            homes: of.texts("serving_regions")?,
+        })
+    }
+}
+
+impl Service {
+    /// # Errors
+    /// Where its text is no JSON or a number is none.
+    pub fn read(item: &Item) -> Result<Self, Invalid> {
+        let of = Of(item, item.value()?);
+        let (cold_rate, connections) = (of.number("cold_rate_s")?, of.number("max_connections")?);
+        Ok(Service { name: item.key.name.clone(), cold_rate, connections })
+    }
+}
+
+impl Limits {
+    /// # Errors
+    /// The first field that is missing or wrong.
+    pub fn read(item: &Item) -> Result<Self, Invalid> {
+        let of = Of(item, item.value()?);
+        Ok(Limits { header_ms: of.count("header_timeout_ms")?, idle_ms: of.count("idle_timeout_ms")? })
+    }
+}
--- /dev/null
+++ b/crates/market/src/lib.rs
@@ -0,0 +1,40 @@
+//! What the system's three programs share: the settings file, the items of a configuration, the messages
+//! between processes and the links that carry them. Decisions stand in modules free of I/O, one concern a
+//! file; `link` alone touches sockets.
+
+pub mod claim;
+pub mod items;
+pub mod link;
+pub mod members;
+pub mod note;
+pub mod settings;
+pub mod value;
+
+use std::process::ExitCode;
+
+/// Logs go to standard error through logforth: each line begins with the prefix of its part.
+pub fn logs() {
+    use logforth::record::{Level, LevelFilter};
+    let level = match std::env::var("DAMSONBEAM_LOG").as_deref() {
+        Ok("error") => Level::Error,
+        Ok("warn") => Level::Warn,
+        Ok("debug") => Level::Debug,
+        _ => Level::Info,
+    };
+    logforth::starter_log::builder()
+        .dispatch(|d| {
+            d.filter(LevelFilter::MoreSevereEqual(level)).append(logforth::append::Stderr::default())
+        })
+        .apply();
+}
+
+/// Ends a program: an error is one line.
+pub fn ended(part: &str, outcome: Result<(), String>) -> ExitCode {
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(what) => {
+            log::error!("{part}: {}", what.replace('\n', " "));
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/porter/src/chart.rs
@@ -0,0 +1,153 @@
+//! The configuration in force as requests are read by it: routes by host and prefix, tenants by key.
+
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+
+use damsonbeam_market::items::{Book, Kind, Limits, Route, Service, Tenant};
+
+#[derive(Clone, Debug, Default)]
+pub struct Chart {
+    /// Of each host, the longest prefix first.
+    routes: HashMap<String, Vec<Rc<Route>>>,
+    keys: HashMap<String, Rc<Tenant>>,
+    pub tenants: Vec<Rc<Tenant>>,
+    pub services: HashMap<String, Service>,
+    pub evacuated: BTreeSet<String>,
+    pub limits: Option<Limits>,
+}
+
+/// Why a request gets no further.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stop {
+    NoRoute,
+    NoKey,
+}
+
+impl Chart {
+    /// Items that can't be read are left out: what was decided has been checked.
+    pub fn read(book: &Book) -> Self {
+        let mut chart = Chart::default();
+        for route in book.standing(Kind::Route).filter_map(|i| Route::read(i).ok()) {
+            chart.routes.entry(route.host.clone()).or_default().push(Rc::new(route));
+        }
+        for all in chart.routes.values_mut() {
+            all.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
+        }
+        for tenant in book.standing(Kind::Tenant).filter_map(|i| Tenant::read(i).ok()) {
+            let tenant = Rc::new(tenant);
+            chart.keys.extend(tenant.keys.iter().map(|k| (k.clone(), tenant.clone())));
+            chart.tenants.push(tenant);
+        }
+        let services = book.standing(Kind::Service).filter_map(|i| Service::read(i).ok());
+        chart.services = services.map(|s| (s.name.clone(), s)).collect();
+        chart.evacuated = book.standing(Kind::Evacuation).map(|i| i.key.name.clone()).collect();
+        chart.limits = book.standing(Kind::Limits).find_map(|i| Limits::read(i).ok());
+        chart
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.routes.is_empty()
+    }
+
+    /// The route and tenant of a request; none where the route is open or no tenants are held.
+    ///
+    /// # Errors
+    /// Where it has no route, or its key is nobody's.
+    pub fn find(
+        &self,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+    ) -> Result<(&Rc<Route>, Option<&Rc<Tenant>>), Stop> {
+        let host = host
+            .rsplit_once(':')
+            .filter(|(_, p)| p.bytes().all(|b| b.is_ascii_digit()))
+            .map_or(host, |h| h.0);
+        let all = self.routes.get(&host.to_ascii_lowercase()).ok_or(Stop::NoRoute)?;
+        let route = all.iter().find(|r| path.starts_with(&r.prefix)).ok_or(Stop::NoRoute)?;
+        let tenant = key.and_then(|k| self.keys.get(k));
+        if route.open || self.tenants.is_empty() {
+            return Ok((route, tenant.filter(|_| !route.open)));
+        }
+        Ok((route, Some(tenant.ok_or(Stop::NoKey)?)))
+    }
+
+    /// Regions in which a request may be served: where both have homes, those of both.
+    pub fn homes(route: &Route, tenant: Option<&Tenant>) -> Homes {
+        let theirs = tenant.map_or(&[][..], |t| &t.homes[..]);
+        match (&route.homes[..], theirs) {
+            ([], []) => None,
+            (one, []) | ([], one) => Some(one.iter().cloned().collect()),
+            (one, other) => Some(one.iter().filter(|h| other.contains(h)).cloned().collect()),
+        }
+    }
+
+    /// The service that a request goes to: by weight, `lot` from 0 to 1.
+    pub fn service(route: &Route, lot: f64) -> &str {
+        let all: f64 = route.to.iter().map(|t| t.1).sum();
+        let mut left = lot * all;
+        let drawn = route.to.iter().find(|t| {
+            left -= t.1;
+            left < 0.0
+        });
+        &drawn.or(route.to.iter().rfind(|t| t.1 > 0.0)).unwrap_or(&route.to[0]).0
+    }
+}
+
+/// Regions in which something may be served; none: anywhere.
+pub type Homes = Option<BTreeSet<String>>;
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use damsonbeam_market::items::Change;
+
+    fn chart(text: &str) -> Chart {
+        let mut book = Book::default();
+        let change = Change::read(text.as_bytes().to_vec()).expect("reads");
+        for item in book.news(&change) {
+            book.merge(item);
+        }
+        Chart::read(&book)
+    }
+
+    #[test]
+    fn the_longest_prefix_wins_keys_are_asked_for_and_homes_are_met_by_both() {
+        let route = |name: &str, prefix: &str, more: &str| {
+            format!(
+                r#"{{"name":"{name}","host_name":"a.example","path_prefix":"{prefix}","route_type":"read_only","timeout_ms":3000,"target_latency_ms":500,"target_service":"s","max_attempts":2,"config_version":"r1"{more}}}"#
+            )
+        };
+        let (one, two) = (
+            route("one", "/x/", ""),
+            route("two", "/x/y/", r#","public_access":true,"serving_regions":["p","q"]"#),
+        );
+        let c = chart(&format!(
+            r#"{{"upserts":{{"route_list":[{one},{two}],"tenant_list":[{{"name":"t","api_keys":["k"],"rate_per_s":5,"burst":5,"serving_regions":["q"],"config_version":"r1"}}]}}}}"#
+        ));
+        let name = |path, key| {
+            c.find("A.example:80", path, key).map(|f| (f.0.name.clone(), f.1.map(|t| t.name.clone())))
+        };
+        assert_eq!(name("/x/z", Some("k")), Ok(("one".into(), Some("t".into()))));
+        assert_eq!(name("/x/y/z", None), Ok(("two".into(), None)));
+        assert_eq!(name("/x/z", Some("other")), Err(Stop::NoKey));
+        assert_eq!(name("/xy", Some("k")), Err(Stop::NoRoute));
+        let two = c.find("a.example", "/x/y/", None).expect("there").0.clone();
+        assert_eq!(Chart::homes(&two, Some(&c.tenants[0])), Some(["q".to_string()].into()));
+    }
+
+    #[test]
+    fn a_split_follows_its_weights_and_gives_nothing_to_a_weight_of_0() {
+        let mut r = Route::read(
+            &Change::read(br#"{"upserts":{"route_list":[{"name":"r","host_name":"h","path_prefix":"/","route_type":"upload","timeout_ms":1,"target_latency_ms":1,"traffic_split":[{"target_service":"a","weight":90},{"target_service":"b","weight":10},{"target_service":"c","weight":0}],"config_version":"r1"}]}}"#.to_vec())
+                .expect("reads")
+                .items[0],
+        )
+        .expect("a route");
+        assert_eq!(Chart::service(&r, 0.89), "a");
+        assert_eq!(Chart::service(&r, 0.91), "b");
+        assert_eq!(Chart::service(&r, 1.0), "b");
+        r.to.rotate_right(1);
+        assert_eq!(Chart::service(&r, 0.0), "a");
+    }
+}
--- /dev/null
+++ b/crates/porter/src/desk.rs
@@ -0,0 +1,270 @@
+//! The decision module as the system runs it: one for each service, homes and number of attempts, each with the
+//! backends that may serve what comes to it. Operations are told apart by what the module reads of a route.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use damsonbeam::Rules;
+use damsonbeam::interface::*;
+use damsonbeam_admin::Figures;
+use damsonbeam_gateway::backends::{Backend, Fleet};
+use damsonbeam_gateway::clock::Clock;
+use damsonbeam_gateway::mail::{Listed, ToCounter, ToModule};
+use damsonbeam_gateway::module::{Guard, Module, Sent, State};
+use damsonbeam_market::items::{Route, RouteKind};
+use rand::Rng;
+use tokio::sync::mpsc;
+
+use crate::chart::{Chart, Homes};
+use crate::purse::Purse;
+use crate::stock::Stock;
+use crate::toll::WAIT;
+
+/// Room in a module's mailbox.
+const ROOM: usize = 4096;
+/// An answer of the counter within this part of the time-out counts as prompt in the module: what comes from
+/// another region, or from the toll where the clerk is silent, is to count so.
+const PROMPT: f64 = 0.3;
+/// Advice to a client to come back is no longer than this.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Part of a request's worth that a late answer keeps, where nobody says: some, so late ones are still tried.
+const LATE: f64 = 0.5;
+
+/// Whose units a count's answer is for.
+pub struct Counted {
+    pub call: ToCounter,
+    pub to: mpsc::Sender<ToModule>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Key {
+    service: String,
+    homes: Option<Vec<String>>,
+    attempts: u32,
+}
+
+struct Desk {
+    service: String,
+    homes: Homes,
+    to: mpsc::Sender<ToModule>,
+    settings: Settings,
+    /// Names of operations by what the module reads of them.
+    operations: HashMap<(RouteKind, u64, u64), OpId>,
+}
+
+pub struct Desks {
+    pub stock: Rc<RefCell<Stock>>,
+    pub purse: Rc<RefCell<Purse>>,
+    pub fleet: Rc<Fleet>,
+    pub clock: Clock,
+    pub figures: Figures,
+    /// Where counts go.
+    pub toll: mpsc::Sender<Counted>,
+    pub connect_timeout: Duration,
+    near: u32,
+    plans: Vec<Plan>,
+    all: HashMap<Key, Desk>,
+}
+
+/// What deliveries of one service use up that all proxies share.
+struct Shared {
+    service: String,
+    stock: Rc<RefCell<Stock>>,
+    purse: Rc<RefCell<Purse>>,
+}
+
+impl Guard for Shared {
+    fn again(&mut self, _: Duration) -> bool {
+        self.purse.borrow_mut().spend(&self.service)
+    }
+
+    fn sent(&mut self, tgt: TgtId, now: Duration) -> Sent {
+        let mut stock = self.stock.borrow_mut();
+        let cold = stock.thaw.is_cold(tgt, now);
+        let go = stock.thaw.send(tgt, now);
+        Sent { go, entry: if cold { stock.closed(tgt, now) } else { None } }
+    }
+}
+
+impl Desks {
+    pub fn new(
+        stock: Rc<RefCell<Stock>>,
+        purse: Rc<RefCell<Purse>>,
+        fleet: Rc<Fleet>,
+        clock: Clock,
+        figures: Figures,
+        toll: mpsc::Sender<Counted>,
+        connect_timeout: Duration,
+    ) -> Self {
+        let (near, plans, all) = (1, Vec::new(), HashMap::new());
+        Desks { stock, purse, fleet, clock, figures, toll, connect_timeout, near, plans, all }
+    }
+
+    /// The module for a request on that route, and its operation there.
+    pub fn desk(&mut self, route: &Route, homes: &Homes) -> (mpsc::Sender<ToModule>, OpId) {
+        let service = Chart::service(route, rand::rng().random()).to_owned();
+        self.purse.borrow_mut().earn(&service);
+        let attempts = route.attempts.max(1);
+        let list = homes.as_ref().map(|h| h.iter().cloned().collect());
+        let key = Key { service, homes: list, attempts };
+        if !self.all.contains_key(&key) {
+            let desk = self.open(&key, homes.clone());
+            self.all.insert(key.clone(), desk);
+        }
+        let desk = self.all.get_mut(&key).expect("just made");
+        let row = (route.kind, route.aim_ms, route.timeout_ms);
+        let op = desk.operations.get(&row).copied().unwrap_or_else(|| {
+            let op = OpId(desk.settings.operations.len());
+            desk.settings.operations.push(operation(route));
+            desk.settings.in_force.operations.push(op);
+            desk.operations.insert(row, op);
+            desk.to.try_send(ToModule::Settings(Box::new(desk.settings.clone()))).ok();
+            op
+        });
+        (desk.to.clone(), op)
+    }
+
+    fn open(&self, key: &Key, homes: Homes) -> Desk {
+        let (to, mailbox) = mpsc::channel(ROOM);
+        let gateways = self.stock.borrow().gateways(&key.service, self.near);
+        let settings = settings(gateways, key.attempts, self.connect_timeout, self.plans.clone());
+        let (to_counter, mut calls) = mpsc::channel(ROOM);
+        let (toll, back) = (self.toll.clone(), to.clone());
+        tokio::task::spawn_local(async move {
+            while let Some(call) = calls.recv().await {
+                if toll.send(Counted { call, to: back.clone() }).await.is_err() {
+                    return;
+                }
+            }
+        });
+        let fleet = self.fleet.clone();
+        let guard =
+            Shared { service: key.service.clone(), stock: self.stock.clone(), purse: self.purse.clone() };
+        let module = Module {
+            rules: Rules::new(rand::random(), settings.clone(), self.clock.now()),
+            clock: self.clock,
+            mailbox,
+            hire: Box::new(move |at, name| Backend::hire(&fleet, at, name)),
+            me: to.clone(),
+            guard: Some(Box::new(guard)),
+            counter: Some(to_counter),
+            list: mpsc::channel(1).0,
+            peers: None,
+            witness: None,
+            state: State::default(),
+            figures: self.figures.clone(),
+            account: None,
+            shown: false,
+            carry: None,
+        };
+        tokio::task::spawn_local(module.run());
+        let desk = Desk { service: key.service.clone(), homes, to, settings, operations: HashMap::new() };
+        self.tell(&desk);
+        desk
+    }
+
+    /// The backends as they stand.
+    fn tell(&self, desk: &Desk) {
+        let lines = self.stock.borrow().lines(&desk.service, &desk.homes, self.clock.now());
+        let addrs = lines.iter().map(|l| l.at).collect();
+        let names = lines.iter().map(|l| l.name.clone()).collect();
+        let entries = lines.into_iter().map(|l| l.entry).collect();
+        let listed = Listed { form: ListForm::Replace, entries, addrs, names };
+        if desk.to.try_send(ToModule::Listed(listed)).is_err() {
+            log::warn!("desk: no room for a new list.");
+        }
+    }
+
+    pub fn tell_all(&self) {
+        self.all.values().for_each(|d| self.tell(d));
+    }
+
+    /// Which plan a tenant has.
+    pub fn plan(&self, tenant: &str) -> PlanId {
+        PlanId(self.plans.iter().position(|p| &*p.name == tenant).unwrap_or(usize::MAX))
+    }
+
+    /// A new configuration: rows stay where they are, for what is under way goes by them.
+    pub fn follow(&mut self, chart: &Chart) {
+        for t in &chart.tenants {
+            let limited = t.rate > 0.0;
+            // A burst of 0 is a second's worth: some must be let in at once.
+            let burst = if t.burst > 0.0 { t.burst } else { t.rate };
+            let plan = Plan {
+                name: t.name.as_str().into(),
+                rate: if limited { t.rate } else { 0.0 },
+                burst: if limited { burst } else { 0.0 },
+                price: 1.0,
+                over_cost: 1.0,
+                ..Plan::default()
+            };
+            match self.plans.iter_mut().find(|p| p.name == plan.name) {
+                Some(known) => *known = plan,
+                None => self.plans.push(plan),
+            }
+        }
+        self.settle();
+    }
+
+    /// So many proxies are near.
+    pub fn near(&mut self, near: u32) {
+        if near != self.near {
+            self.near = near;
+            self.settle();
+        }
+    }
+
+    pub fn settle(&mut self) {
+        let stock = self.stock.borrow();
+        for desk in self.all.values_mut() {
+            let gateways = stock.gateways(&desk.service, self.near);
+            if gateways != desk.settings.gateways || desk.settings.plans != self.plans {
+                desk.settings.gateways = gateways;
+                desk.settings.plans = self.plans.clone();
+                desk.settings.in_force.plans = (0..self.plans.len()).map(PlanId).collect();
+                desk.to.try_send(ToModule::Settings(Box::new(desk.settings.clone()))).ok();
+            }
+        }
+    }
+}
+
+fn operation(route: &Route) -> Operation {
+    let name = format!("{:?}/{}/{}", route.kind, route.aim_ms, route.timeout_ms);
+    Operation {
+        name: name.as_str().into(),
+        repeat: if route.kind == RouteKind::ReadOnly { Repeat::Idempotent } else { Repeat::NonIdempotent },
+        latency_objective: Duration::from_millis(route.aim_ms),
+        integration_timeout: Duration::from_millis(route.timeout_ms),
+        billed_value: 1.0,
+        late_value: LATE,
+        streamed: false,
+    }
+}
+
+fn settings(gateways: u32, attempts: u32, connect_timeout: Duration, plans: Vec<Plan>) -> Settings {
+    let in_force = InForce { operations: vec![], plans: (0..plans.len()).map(PlanId).collect() };
+    Settings {
+        gateways,
+        tick: Duration::from_millis(1),
+        plans,
+        in_force,
+        limits: Limits {
+            cancel: true,
+            parallel: false,
+            probes: false,
+            tell: false,
+            retry_after: Some(RETRY_AFTER),
+            tries: attempts,
+            open: usize::MAX,
+            connect_timeout,
+        },
+        counter: Some(Counter { timeout: WAIT.div_f64(PROMPT).mul_f64(1.2), price: 0.0 }),
+        most_units: 1.0,
+        cold_share: 1.0,
+        overload_factor: 1.0,
+        overload_for: Duration::from_secs(1),
+        ..Settings::default()
+    }
+}
--- /dev/null
+++ b/crates/porter/src/main.rs
@@ -0,0 +1,328 @@
+//! `damsonbeam-porter`: one proxy, from start to exit. It wires clients, modules and backends, and feeds them news.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use damsonbeam::interface::Outcome;
+use damsonbeam_admin::Figures;
+use damsonbeam_gateway::backends::Fleet;
+use damsonbeam_gateway::clients::{Clients, Patience};
+use damsonbeam_gateway::clock::Clock;
+use damsonbeam_gateway::mail::{Call, ToCounter, ToModule};
+use damsonbeam_gateway::sizes::CONNECTION;
+use damsonbeam_gateway::stage::{Now, Stage};
+use damsonbeam_market::link::listen;
+use damsonbeam_market::note::{Add, Note, Stand, ip};
+use damsonbeam_market::settings::Settings;
+use damsonbeam_porter::chart::Chart;
+use damsonbeam_porter::desk::{Counted, Desks};
+use damsonbeam_porter::news::{self, Known, Word};
+use damsonbeam_porter::purse::Purse;
+use damsonbeam_porter::speech::{Backends, Requests};
+use damsonbeam_porter::stock::Stock;
+use damsonbeam_porter::toll::{Count, Toll};
+use http_body_util::Empty;
+use hyper::body::Bytes;
+use hyper::service::service_fn;
+use hyper::{Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use rand::Rng;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+
+/// Between two looks at what is due: counts that wait, cold backends' turns.
+const TICK: Duration = Duration::from_millis(25);
+/// A connection to a backend comes up within this, or its machine is gone: the way between regions there and
+/// back, and one lost packet less than a client's patience.
+const CONNECT: Duration = Duration::from_millis(350);
+/// Idle connections to backends before any has said how long it keeps them.
+const IDLE: Duration = Duration::from_secs(4);
+/// After SIGTERM new connections come until clients have asked the directory anew; each answer ends its own.
+const ACCEPT_ON: Duration = Duration::from_millis(2500);
+/// The end comes this much before SIGKILL would.
+const BEFORE: Duration = Duration::from_millis(300);
+/// Descriptors not for sockets.
+const RESERVE: usize = 300;
+/// With a list and items, but nobody to tell the common time: this machine's own has to do.
+const OWN_TIME: Duration = Duration::from_secs(4);
+/// An idle connection of a client's is closed so long after it was told that it would be: no request meets the close.
+const CLOSE_LATER: Duration = Duration::from_millis(1500);
+
+/// The counts' carrier: calls out to the clerk, totals back to the modules.
+struct Counts {
+    toll: Toll,
+    clock: Clock,
+    known: news::Shared,
+    waiting: HashMap<u64, (String, Duration, mpsc::Sender<ToModule>)>,
+    adds: Vec<Add>,
+}
+
+impl Counts {
+    fn call(&mut self, Counted { call, to }: Counted) {
+        let ToCounter::Call(Call { name, add, at, .. }) = call else { return };
+        match self.toll.count(&name, add, self.clock.now()) {
+            Count::Told(total) => Self::tell(&to, name, total, Duration::ZERO),
+            Count::Asked(no) => {
+                self.adds.push(Add { no, name: name.clone(), add });
+                self.waiting.insert(no, (name, at, to));
+            }
+        }
+    }
+
+    /// What has come together goes in one message.
+    fn flush(&mut self) {
+        if self.adds.is_empty() {
+            return;
+        }
+        let adds = std::mem::take(&mut self.adds);
+        let sent = self.known.borrow().clerk().is_some_and(|out| out.send(&Note::Adds(adds)));
+        if !sent {
+            self.toll.link(false);
+            self.overdue();
+        }
+    }
+
+    fn tell(to: &mpsc::Sender<ToModule>, name: String, total: f64, latency: Duration) {
+        let total = ToModule::Total { name, outcome: Outcome::Ok, total, latency };
+        if let Err(mpsc::error::TrySendError::Full(total)) = to.try_send(total) {
+            let to = to.clone();
+            tokio::task::spawn_local(async move { to.send(total).await.ok() });
+        }
+    }
+
+    fn told(&mut self, all: Vec<(u64, f64)>) {
+        let now = self.clock.now();
+        for (no, total) in all {
+            if let Some((name, at, to)) = self.waiting.remove(&no) {
+                Self::tell(&to, name, total, now.saturating_sub(at));
+            }
+        }
+    }
+
+    fn overdue(&mut self) {
+        if self.toll.waits() {
+            let late = self.toll.overdue(self.clock.now());
+            self.told(late);
+        }
+    }
+}
+
+async fn readiness(listener: TcpListener, now: Now) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(TICK).await;
+            continue;
+        };
+        let now = now.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |_| {
+                let mut answer = Response::new(Empty::<Bytes>::new());
+                if !now.stage().serves() {
+                    *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+                }
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let http =
+                hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            timeout(Duration::from_secs(30), http).await.ok();
+        });
+    }
+}
+
+async fn run(settings: Settings) -> Result<(), String> {
+    let settings = Rc::new(settings);
+    let node = settings.node.clone();
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+    let mut reload = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
+    let now = Now::default();
+    tokio::task::spawn_local(readiness(listen(settings.listens("readiness")?)?, now.clone()));
+    let front = settings.listens("front")?;
+    let stand = Stand {
+        node: node.clone(),
+        life: rand::random(),
+        zone: settings.zone.clone(),
+        front: (ip(front.ip()), front.port()),
+        ready: false,
+    };
+    let known = Rc::new(RefCell::new(Known::new(&settings, stand)));
+    let (to, mut words) = mpsc::channel(4096);
+    tokio::task::spawn_local(news::run(settings.clone(), known.clone(), to));
+
+    // The common time first: the names of counts go by it.
+    let began = Instant::now();
+    let mut early = Vec::new();
+    let clock = loop {
+        if let Some((at, ms)) = known.borrow().time {
+            break Clock::at(Duration::from_millis(ms) + at.elapsed());
+        }
+        if began.elapsed() > OWN_TIME && early.iter().any(|w| matches!(w, Word::List(_))) {
+            break Clock::start();
+        }
+        tokio::select! {
+            Some(word) = words.recv() => early.push(word),
+            () = sleep(TICK) => {}
+            _ = terminate.recv() => return Ok(()),
+        }
+    };
+    if known.borrow().time.is_none() {
+        known.borrow_mut().time = Some((Instant::now(), clock.now().as_millis() as u64));
+    }
+    let figures = Figures::new().map_err(|e| format!("figures: {e}"))?;
+    let places = (settings.descriptors as usize).saturating_sub(RESERVE).max(64);
+    let (most_clients, most_backends) = (places * 3 / 5, places * 2 / 5);
+    let memory = (settings.memory_mb as usize) << 20;
+    let most_clients = most_clients.min(memory / 4 / CONNECTION);
+    let bodies = memory / 6;
+    let fleet = Fleet::new(CONNECT, IDLE, vec![], Box::new(Backends), most_backends, bodies, &figures);
+    let stock = Rc::new(RefCell::new(Stock::new(&settings.zone, &settings.region, settings.zones.clone())));
+    let purse =
+        Purse::new(settings.bound("retry_budget_ratio", 0.1), settings.bound("retry_budget_slack", 10.0));
+    let purse = Rc::new(RefCell::new(purse));
+    let (to_toll, mut calls) = mpsc::channel(4096);
+    let desks = Desks::new(stock.clone(), purse.clone(), fleet, clock, figures.clone(), to_toll, CONNECT);
+    let desks = Rc::new(RefCell::new(desks));
+    let chart = Rc::new(RefCell::new(Rc::new(Chart::default())));
+    let idle_s = Rc::new(Cell::new(0));
+    let requests = Requests { desks: desks.clone(), chart: chart.clone(), idle_s: idle_s.clone() };
+    let clients =
+        Rc::new(Clients::new(Rc::new(requests), most_clients, bodies, clock, now.clone(), &figures));
+    let mut counts = Counts {
+        toll: Toll::default(),
+        clock,
+        known: known.clone(),
+        waiting: HashMap::new(),
+        adds: Vec::new(),
+    };
+    let mut accepting = None;
+    let mut lot = || rand::rng().random::<f64>();
+    let mut open: HashMap<damsonbeam::interface::TgtId, bool> = HashMap::new();
+    let mut tick = interval(TICK);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut ending: Option<Instant> = None;
+    let grace = settings.bound_s("grace_period_s", 5.0);
+    let mut early = early.into_iter();
+    loop {
+        let mut word = early.next();
+        if word.is_none() {
+            tokio::select! {
+                biased;
+                Some(w) = words.recv() => word = Some(w),
+                Some(call) = calls.recv() => {
+                    counts.call(call);
+                    while let Ok(call) = calls.try_recv() {
+                        counts.call(call);
+                    }
+                    counts.flush();
+                }
+                _ = tick.tick() => {
+                    counts.overdue();
+                    // Cold backends whose turn has come, or that are cold no more.
+                    let states: Vec<_> = stock.borrow().thaw.all(clock.now()).collect();
+                    let mut turned = false;
+                    for (tgt, is) in &states {
+                        turned |= open.insert(*tgt, *is).unwrap_or(true) != *is && *is;
+                    }
+                    if turned {
+                        desks.borrow().tell_all();
+                    }
+                    if let Some(at) = ending {
+                        let over = at.elapsed();
+                        if over >= ACCEPT_ON && now.stage() == Stage::Draining {
+                            now.enter(Stage::Finishing, &node);
+                            if let Some(accepts) = accepting.take() {
+                                let accepts: tokio::task::JoinHandle<()> = accepts;
+                                accepts.abort();
+                            }
+                            clients.close();
+                        }
+                        let done = now.stage() == Stage::Finishing && clients.owed() == 0;
+                        if done || over + BEFORE >= grace {
+                            log::info!("porter: ends with {} answers owed.", clients.owed());
+                            return Ok(());
+                        }
+                    }
+                }
+                _ = terminate.recv(), if ending.is_none() => {
+                    log::info!("porter: SIGTERM, sends its clients away.");
+                    ending = Some(Instant::now());
+                    now.enter(Stage::Draining, &node);
+                    let mut k = known.borrow_mut();
+                    k.stand.ready = false;
+                    k.tell_all();
+                }
+                _ = reload.recv() => match Settings::read() {
+                    Ok(_) => log::info!("porter: SIGHUP, the settings file is whole."),
+                    Err(e) => log::warn!("porter: SIGHUP, {e}; the old settings stay."),
+                },
+            }
+        }
+        match word {
+            None => {}
+            Some(Word::Items) => {
+                let new = Rc::new(Chart::read(&known.borrow().book));
+                if let Some(limits) = &new.limits {
+                    let idle = Duration::from_millis(limits.idle_ms);
+                    idle_s.set((limits.idle_ms / 1000).saturating_sub(2));
+                    let whole = Duration::from_millis(limits.header_ms).max(Duration::from_millis(200));
+                    clients.wait(Patience { whole, quiet: idle.max(CLOSE_LATER) });
+                }
+                stock.borrow_mut().evacuate(&new, clock.now(), &mut lot);
+                *chart.borrow_mut() = new.clone();
+                desks.borrow_mut().follow(&new);
+                desks.borrow().tell_all();
+            }
+            Some(Word::List(servers)) => {
+                let chart = chart.borrow().clone();
+                stock.borrow_mut().take(servers, &chart, clock.now(), &mut lot);
+                desks.borrow_mut().settle();
+                desks.borrow().tell_all();
+            }
+            Some(Word::Beat(beat)) => {
+                if beat.porters > 0 {
+                    counts.toll.share(beat.porters, beat.attached);
+                    purse.borrow_mut().share(beat.porters);
+                    stock.borrow_mut().thaw.share(beat.porters);
+                    desks.borrow_mut().near(beat.near);
+                }
+                let linked = known.borrow().clerk().is_some();
+                counts.toll.link(linked);
+            }
+            Some(Word::Totals { of, reign }) => {
+                let told = counts.toll.told(&of, reign, clock.now());
+                counts.told(told);
+            }
+            Some(Word::Clerk(linked)) => {
+                counts.toll.link(linked);
+                counts.overdue();
+            }
+        }
+        if accepting.is_none() && ending.is_none() && !chart.borrow().is_empty() && !stock.borrow().is_empty()
+        {
+            let listener = Rc::new(listen(front)?);
+            accepting = Some(tokio::task::spawn_local(clients.clone().accept(listener)));
+            now.enter(Stage::Serving, &node);
+            log::info!("porter: {node} serves.");
+            let mut k = known.borrow_mut();
+            k.stand.ready = true;
+            k.tell_all();
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let about = "One porter: the proxy of the system. Configured by DAMSONBEAM_CONFIG.";
+    let () = bpaf::Parser::to_options(bpaf::pure(())).descr(about).run();
+    damsonbeam_market::logs();
+    let outcome = Settings::read().map_err(|e| e.to_string()).and_then(|settings| {
+        let options = tokio::runtime::LocalOptions::default();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build_local(options);
+        runtime.map_err(|e| format!("runtime: {e}"))?.block_on(run(settings))
+    });
+    damsonbeam_market::ended("porter", outcome)
+}
--- /dev/null
+++ b/crates/porter/src/speech.rs
@@ -0,0 +1,177 @@
+//! The protocol towards clients and backends: `PROTOCOL.md` of the system.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use damsonbeam::interface::{CustomerId, GatewayId, InvId, Invocation, Outcome, PlanId, Why};
+use damsonbeam_gateway::backends::{Back, end_to_end};
+use damsonbeam_gateway::bodies::Given;
+use damsonbeam_gateway::clients::{Decoded, Front, Reply200, Turned, plain, turned};
+use damsonbeam_gateway::front::one;
+use damsonbeam_gateway::mail::Answer;
+use hyper::header::{AUTHORIZATION, HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::http::request::Parts;
+use hyper::{Response, StatusCode, Uri};
+
+use crate::chart::{Chart, Stop};
+use crate::desk::Desks;
+
+static ID: HeaderName = HeaderName::from_static("x-request-id");
+static DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
+static SEAL: HeaderName = HeaderName::from_static("x-response-seal");
+static TENANT: HeaderName = HeaderName::from_static("x-tenant-name");
+static INSTANCE: HeaderName = HeaderName::from_static("x-target-instance");
+static NOT_RUN: HeaderName = HeaderName::from_static("x-not-executed");
+static KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// Bytes of a request's id at most.
+const ID_MOST: usize = 128;
+/// A client that says it waits longer is not believed.
+const WAIT: u64 = 24 * 3_600_000;
+
+/// Towards clients.
+pub struct Requests {
+    pub desks: Rc<RefCell<Desks>>,
+    pub chart: Rc<RefCell<Rc<Chart>>>,
+    /// Seconds for which an idle connection is kept, told to clients.
+    pub idle_s: Rc<Cell<u64>>,
+}
+
+impl Front for Requests {
+    fn asks_up(&self, _: &Uri) -> bool {
+        false
+    }
+
+    fn named(&self, _: &Uri) -> Option<Arc<str>> {
+        None
+    }
+
+    fn decode(&self, inv: InvId, head: &Parts) -> Result<Decoded, Turned> {
+        let chart = self.chart.borrow().clone();
+        let headers = &head.headers;
+        let bad = || turned(StatusCode::BAD_REQUEST);
+        if head.uri.scheme().is_some() || head.uri.authority().is_some() {
+            return Err(bad());
+        }
+        let name =
+            one(headers, ID.as_str()).filter(|n| !n.is_empty() && n.len() <= ID_MOST).ok_or_else(bad)?;
+        let host = one(headers, HOST.as_str()).ok_or_else(bad)?;
+        let key = one(headers, AUTHORIZATION.as_str()).and_then(|a| a.strip_prefix("Bearer "));
+        let left = match headers.get(&DEADLINE) {
+            Some(_) => one(headers, DEADLINE.as_str()).and_then(|d| d.parse::<u64>().ok()).ok_or_else(bad)?,
+            None => WAIT,
+        };
+        if chart.is_empty() {
+            // No configuration yet: whoever asks is told to come back, not that there is no such route.
+            return Err(Box::new(later(StatusCode::SERVICE_UNAVAILABLE, Some(Duration::from_millis(500)))));
+        }
+        let (route, tenant) =
+            chart.find(host, head.uri.path(), key.map(str::trim)).map_err(|stop| match stop {
+                Stop::NoRoute => turned(StatusCode::NOT_FOUND),
+                Stop::NoKey => turned(StatusCode::UNAUTHORIZED),
+            })?;
+        let homes = Chart::homes(route, tenant.map(|t| &**t));
+        let mut desks = self.desks.borrow_mut();
+        let (to, op) = desks.desk(route, &homes);
+        let plan = tenant.map_or(PlanId(usize::MAX), |t| desks.plan(&t.name));
+        let customer = CustomerId(tenant.map_or("", |t| &t.name).into());
+        let told = Invocation {
+            inv,
+            op,
+            plan,
+            customer,
+            units: 1.0,
+            first_gateway: GatewayId(0),
+            spread: 1,
+            ..Invocation::default()
+        };
+        let mut out = headers.clone();
+        end_to_end(&mut out, "");
+        for name in [&AUTHORIZATION, &TENANT, &INSTANCE, &NOT_RUN] {
+            out.remove(name);
+        }
+        if let Some(value) = tenant.and_then(|t| HeaderValue::from_str(&t.name).ok()) {
+            out.insert(&TENANT, value);
+        }
+        let left = Duration::from_millis(left.min(route.timeout_ms));
+        Ok(Decoded { told, name: name.to_owned(), left, headers: out, to })
+    }
+
+    fn encode(&self, answer: Answer) -> Reply200 {
+        let mut out = match answer {
+            Answer::Succeeded(reply) => {
+                let mut answer = Response::new(reply.body);
+                *answer.status_mut() = reply.status;
+                *answer.headers_mut() = reply.headers;
+                answer
+            }
+            // A promise that it has not run and never will.
+            Answer::Throttled { after, why: Why::Quota | Why::Full, clean: true } => {
+                later(StatusCode::TOO_MANY_REQUESTS, after)
+            }
+            Answer::Throttled { after, clean: true, .. } => later(StatusCode::SERVICE_UNAVAILABLE, after),
+            Answer::Throttled { clean: false, why: Why::Time, .. } => plain(StatusCode::GATEWAY_TIMEOUT),
+            Answer::Throttled { .. } | Answer::Errored => plain(StatusCode::BAD_GATEWAY),
+        };
+        let idle = self.idle_s.get();
+        if idle > 0
+            && let Ok(value) = HeaderValue::from_str(&format!("timeout={idle}"))
+        {
+            out.headers_mut().insert(&KEEP_ALIVE, value);
+        }
+        out
+    }
+}
+
+fn later(status: StatusCode, after: Option<Duration>) -> Response<Given> {
+    let mut answer = plain(status);
+    if let Some(value) = after.and_then(|a| HeaderValue::from_str(&format!("{:.3}", a.as_secs_f64())).ok()) {
+        answer.headers_mut().insert(RETRY_AFTER, value);
+    }
+    answer
+}
+
+/// Towards backends.
+pub struct Backends;
+
+impl Back for Backends {
+    fn address(&self, headers: &mut HeaderMap, wait: Duration, backend: &str) {
+        headers.insert(&DEADLINE, HeaderValue::from(wait.as_millis() as u64));
+        if let Ok(id) = HeaderValue::from_str(backend) {
+            headers.insert(&INSTANCE, id);
+        }
+    }
+
+    fn outcome(&self, asked: &HeaderMap, status: StatusCode, headers: &HeaderMap) -> Outcome {
+        match headers.get(&ID) {
+            // An answer to another request, in the place where this one's is due.
+            Some(id) if Some(id) != asked.get(&ID) => Outcome::Reset,
+            _ if status == StatusCode::MISDIRECTED_REQUEST => Outcome::ConnectFailed,
+            _ if headers.contains_key(&NOT_RUN) => Outcome::Full,
+            Some(_) if status.is_success() && headers.contains_key(&SEAL) => Outcome::Ok,
+            _ => Outcome::Failed,
+        }
+    }
+
+    fn passes(&self, outcome: Outcome, status: StatusCode, headers: &HeaderMap) -> bool {
+        match outcome {
+            Outcome::Ok => true,
+            // A failure of the backend's own, in answer to this request.
+            Outcome::Failed => !status.is_success() && headers.contains_key(&ID),
+            _ => false,
+        }
+    }
+
+    fn strip(&self, headers: &mut HeaderMap) {
+        end_to_end(headers, "");
+        headers.remove(&NOT_RUN);
+    }
+
+    fn keep(&self, headers: &HeaderMap) -> Option<Duration> {
+        let said = headers.get(&KEEP_ALIVE)?.to_str().ok()?;
+        let fields: BTreeMap<&str, &str> = said.split(',').filter_map(|f| f.trim().split_once('=')).collect();
+        fields.get("timeout")?.parse().ok().map(Duration::from_secs)
+    }
+}
--- /dev/null
+++ b/crates/warden/src/main.rs
@@ -0,0 +1,642 @@
+//! `damsonbeam-warden`: one warden. It carries between sockets and the state machines, and takes the outside calls.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use damsonbeam_market::claim::{Claims, Vote};
+use damsonbeam_market::items::{Book, Change, Kind};
+use damsonbeam_market::link::{self, Out};
+use damsonbeam_market::members::Members;
+use damsonbeam_market::note::{
+    Add, Beat, Datagram, Ip, Note, Order, Reply, Server, Stand, What, addr, ip, pack, unpack,
+};
+use damsonbeam_market::settings::{Port, Settings};
+use damsonbeam_warden::calls::{self, Call, Miss};
+use damsonbeam_warden::guide::{self, Post};
+use damsonbeam_warden::list;
+use damsonbeam_warden::tally::Tally;
+use http_body_util::{BodyExt, Empty, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::oneshot;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+
+const TICK: Duration = Duration::from_millis(50);
+/// A beat to each porter: three in the time after which it would look for another clerk.
+const BEAT: Duration = Duration::from_millis(400);
+/// A porter that said nothing for so long is not attached any more, and not named to clients.
+const SILENT: Duration = Duration::from_millis(1300);
+/// Porters not seen for so long may be serving out of touch: their part of each quota stays theirs.
+const ABSENT: Duration = Duration::from_secs(30);
+const DIAL: Duration = Duration::from_millis(800);
+const REDIAL: Duration = Duration::from_millis(200);
+/// The coffer may be busy with a sweep, never for long.
+const COFFER_SILENT: Duration = Duration::from_secs(3600);
+/// An outside call is answered within this: its caller looks elsewhere after a second of silence.
+const ANSWER: Duration = Duration::from_millis(4000);
+/// Between two readings of the platform's list: its own lag is most of what a drain's bound leaves.
+const POLL: Duration = Duration::from_millis(500);
+/// A call to the platform is given up after this.
+const CLOUD: Duration = Duration::from_millis(900);
+/// Without a word of the common time by then, this machine's own clock begins it.
+const OWN_TIME: Duration = Duration::from_millis(700);
+/// Bytes of an operator's call at most.
+const CALL: usize = 16 << 20;
+/// How long clients may keep an answer of the directory.
+const TTL_S: f64 = 3.0;
+
+struct Porter {
+    stand: Stand,
+    out: Out,
+    last: Duration,
+    no: u64,
+    acked: u64,
+}
+
+struct Warden {
+    settings: Rc<Settings>,
+    me: Ip,
+    start: Instant,
+    members: Members,
+    claims: Claims,
+    tally: Tally,
+    /// Most wardens known at a time: a majority is more than half of them.
+    size: u32,
+    /// Common time less this process's, in milliseconds.
+    time: Option<i64>,
+    /// Term and start of this one's reign as clerk.
+    reign: Option<(u64, Duration)>,
+    porters: BTreeMap<u64, Porter>,
+    /// Porters by node, and when each was seen last.
+    seen: BTreeMap<String, Duration>,
+    beat: Duration,
+    book: Book,
+    servers: Vec<Server>,
+    /// This process has read the list in its present reign.
+    listed: bool,
+    coffer: Option<Out>,
+    asks: HashMap<u64, oneshot::Sender<Reply>>,
+    next: u64,
+    roster: (Vec<Ip>, u32),
+    leaving: bool,
+}
+
+type Shared = Rc<RefCell<Warden>>;
+
+impl Warden {
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    fn time_ms(&self) -> Option<u64> {
+        Some((self.now().as_millis() as i64 + self.time?).max(0) as u64)
+    }
+
+    fn hear_time(&mut self, time_ms: Option<u64>, sure: bool) {
+        if let Some(time) = time_ms.filter(|_| self.time.is_none() || sure) {
+            self.time = Some(time as i64 - self.now().as_millis() as i64);
+        }
+    }
+
+    fn region(&self, zone: &str) -> String {
+        self.settings.zones.get(zone).cloned().unwrap_or_default()
+    }
+
+    /// Time passed: datagrams to send.
+    fn tick(&mut self) -> Vec<(Ip, Vec<u8>)> {
+        let now = self.now();
+        if self.time.is_none() && now >= OWN_TIME {
+            let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            self.hear_time(Some(unix.as_millis() as u64), false);
+        }
+        let (out, changes) = self.members.tick(now);
+        changes.iter().for_each(|(ip, state)| log::info!("members: {} is {state:?}.", addr(*ip)));
+        let mut out: Vec<(Ip, Vec<u8>)> =
+            out.into_iter().map(|(to, what)| (to, self.datagram(to, what))).collect();
+        let alive = self.members.alive();
+        self.size = self.size.max(alive.len() as u32);
+        if let Some(vote) = self.claims.tick(now, &alive, self.size).filter(|_| !self.leaving) {
+            let me = self.me;
+            for to in alive.iter().filter(|a| **a != me) {
+                out.push((*to, self.datagram(*to, What::Vote(vote.clone()))));
+            }
+        }
+        let holds = self.claims.holds(now, self.size);
+        if holds != self.reign.map(|r| r.0) {
+            match holds {
+                Some(term) => log::info!("clerk: took the duty, term {term}."),
+                None => log::info!("clerk: the duty is over here."),
+            }
+            self.reign = holds.map(|term| (term, now));
+            self.listed = false;
+            self.tally.clear();
+        }
+        if now >= self.beat {
+            self.beat = now + BEAT;
+            self.beat();
+        }
+        self.tell_roster(alive);
+        out
+    }
+
+    fn datagram(&mut self, to: Ip, what: What) -> Vec<u8> {
+        let (time_ms, rumours) = (self.time_ms(), self.members.rumours(to));
+        pack(&Datagram { from: self.me, time_ms, what, rumours })
+    }
+
+    /// The coffer on this machine must know the others, and how many there are.
+    fn tell_roster(&mut self, alive: Vec<Ip>) {
+        let size = self.size;
+        if (&alive, size) != (&self.roster.0, self.roster.1)
+            && let Some(coffer) = &self.coffer
+        {
+            coffer.send(&Note::Roster { ips: alive.clone(), size });
+            self.roster = (alive, size);
+        }
+    }
+
+    fn known_porters(&mut self) -> u32 {
+        let now = self.now();
+        self.seen.retain(|_, at| now < *at + ABSENT);
+        self.seen.len() as u32
+    }
+
+    fn attached(&self) -> impl Iterator<Item = &Porter> {
+        let now = self.now();
+        self.porters.values().filter(move |p| now < p.last + SILENT)
+    }
+
+    fn beat(&mut self) {
+        let now = self.now();
+        let (porters, clerk) = (self.known_porters(), self.claims.holder(now, self.size));
+        let nodes: std::collections::BTreeSet<&str> = self.attached().map(|p| &*p.stand.node).collect();
+        let attached = nodes.len() as u32;
+        let mut wardens = self.members.alive();
+        wardens.retain(|w| *w != self.me);
+        wardens.insert(0, self.me);
+        let list = if self.reign.is_some() && self.listed { 1 } else { 0 };
+        let regions: Vec<String> =
+            self.attached().filter(|p| p.stand.ready).map(|p| self.region(&p.stand.zone)).collect();
+        let beat = Beat {
+            time_ms: self.time_ms().unwrap_or(0),
+            wardens,
+            clerk,
+            porters,
+            attached,
+            near: 0,
+            items: self.book.digest(),
+            list,
+        };
+        for p in self.porters.values() {
+            let region = self.region(&p.stand.zone);
+            let near = regions.iter().filter(|r| **r == region).count() as u32;
+            p.out.send(&Note::Beat(Beat { near, ..beat.clone() }));
+        }
+    }
+
+    fn decided(&mut self, items: Vec<damsonbeam_market::items::Item>, whole: bool) {
+        let new: Vec<_> = items.into_iter().filter(|i| self.book.merge(i.clone())).collect();
+        if new.is_empty() {
+            return;
+        }
+        if !whole {
+            log::info!("news: {} items decided, to {} porters.", new.len(), self.porters.len());
+        }
+        for p in self.porters.values_mut() {
+            p.no += 1;
+            p.out.send(&Note::News { no: p.no, items: new.clone() });
+        }
+    }
+
+    fn all_items(&mut self, link: u64) {
+        let items = self.book.items.values().cloned().collect();
+        if let Some(p) = self.porters.get_mut(&link) {
+            p.no += 1;
+            p.out.send(&Note::News { no: p.no, items });
+        }
+    }
+
+    fn list_to(&mut self, link: Option<u64>) {
+        let Some((term, _)) = self.reign.filter(|_| self.listed) else { return };
+        for (id, p) in &mut self.porters {
+            if link.is_none_or(|l| l == *id) {
+                p.no += 1;
+                p.out.send(&Note::List { no: p.no, servers: self.servers.clone(), term });
+            }
+        }
+    }
+
+    /// A message of a porter.
+    fn porter(&mut self, link: u64, out: &Out, note: Note) {
+        let now = self.now();
+        match note {
+            Note::Stand { stand, time_ms } => {
+                self.hear_time(time_ms, false);
+                self.seen.insert(stand.node.clone(), now);
+                let fresh = !self.porters.contains_key(&link);
+                if fresh {
+                    log::info!("porters: {} came.", stand.node);
+                }
+                let p = self.porters.entry(link).or_insert_with(|| Porter {
+                    stand: stand.clone(),
+                    out: out.clone(),
+                    last: now,
+                    no: 0,
+                    acked: 0,
+                });
+                (p.stand, p.last) = (stand, now);
+                if fresh {
+                    self.all_items(link);
+                    self.list_to(Some(link));
+                    self.beat();
+                }
+            }
+            Note::Adds(adds) => self.adds(link, adds),
+            Note::Pull => self.all_items(link),
+            Note::PullList => self.list_to(Some(link)),
+            Note::Heard { no } => {
+                if let Some(p) = self.porters.get_mut(&link) {
+                    p.acked = p.acked.max(no);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Counts only while the duty is this one's: without an answer the porter keeps to its part.
+    fn adds(&mut self, link: u64, adds: Vec<Add>) {
+        let now = self.now();
+        let Some((term, since)) = self.reign else { return };
+        if self.claims.holds(now, self.size) != Some(term) {
+            return;
+        }
+        let of = adds.into_iter().map(|a| (a.no, self.tally.add(a.name, a.add, now))).collect();
+        let reign_ms = (now - since).as_millis() as u64;
+        if let Some(p) = self.porters.get_mut(&link) {
+            p.last = now;
+            p.out.send(&Note::Totals { of, reign_ms });
+        }
+    }
+
+    fn ask(&mut self, order: Order) -> Option<oneshot::Receiver<Reply>> {
+        self.next += 1;
+        let no = self.next;
+        let (to, reply) = oneshot::channel();
+        self.coffer.as_ref()?.send(&Note::Ask { no, order }).then(|| self.asks.insert(no, to))?;
+        Some(reply)
+    }
+
+    fn posts(&self) -> Vec<Post> {
+        let mut by_node: BTreeMap<&str, Post> = BTreeMap::new();
+        for p in self.attached() {
+            let s = &p.stand;
+            let post =
+                Post { front: s.front(), zone: s.zone.clone(), region: self.region(&s.zone), ready: s.ready };
+            by_node.insert(&s.node, post);
+        }
+        by_node.into_values().collect()
+    }
+}
+
+async fn inner(warden: Shared, listener: TcpListener) {
+    for link in 1u64.. {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(REDIAL).await;
+            continue;
+        };
+        link::tend(&stream);
+        let warden = warden.clone();
+        tokio::task::spawn_local(async move {
+            let (mut from, out) = link::split(stream);
+            while let Ok(note) = from.next::<Note>(link::SILENT).await {
+                warden.borrow_mut().porter(link, &out, note);
+            }
+            if let Some(p) = warden.borrow_mut().porters.remove(&link) {
+                log::info!("porters: {} left.", p.stand.node);
+            }
+        });
+    }
+}
+
+async fn coffer(warden: Shared) {
+    let (at, me) = {
+        let w = warden.borrow();
+        (w.settings.inner(w.settings.ip, Port::Coffer), w.me)
+    };
+    loop {
+        if let Ok(stream) = link::dial(at, DIAL).await {
+            let (mut from, out) = link::split(stream);
+            {
+                let mut w = warden.borrow_mut();
+                let (ips, size) = (w.members.alive(), w.size.max(1));
+                out.send(&Note::Roster { ips: ips.clone(), size });
+                w.roster = (ips, size);
+                w.coffer = Some(out);
+                log::info!("coffer: reached.");
+            }
+            while let Ok(note) = from.next::<Note>(COFFER_SILENT).await {
+                let mut w = warden.borrow_mut();
+                match note {
+                    Note::Roster { ips, size } => {
+                        w.members.hint(ips.into_iter().filter(|ip| *ip != me));
+                        w.size = w.size.max(size);
+                    }
+                    Note::Decided { items, whole } => w.decided(items, whole),
+                    Note::Reply { no, reply } => {
+                        w.asks.remove(&no).map(|to| to.send(reply).ok());
+                    }
+                    _ => {}
+                }
+            }
+            let mut w = warden.borrow_mut();
+            w.coffer = None;
+            w.asks.clear();
+            log::warn!("coffer: lost.");
+        }
+        sleep(REDIAL).await;
+    }
+}
+
+async fn gossip(warden: Shared, socket: Rc<UdpSocket>) {
+    let mut buf = vec![0; 64 << 10];
+    let port = warden.borrow().settings.inner(warden.borrow().settings.ip, Port::Gossip).port();
+    loop {
+        let Ok((n, from)) = socket.recv_from(&mut buf).await else { continue };
+        let Ok(d) = unpack::<Datagram>(&buf[..n]) else { continue };
+        if from.ip() != addr(d.from) {
+            continue;
+        }
+        let out: Vec<(Ip, Vec<u8>)> = {
+            let mut w = warden.borrow_mut();
+            let now = w.now();
+            // The clerk's time is the common time.
+            let clerk = w.claims.holder(now, w.size).is_some_and(|h| h.0 == d.from);
+            w.hear_time(d.time_ms, clerk);
+            let (mut back, changes) = w.members.heard(d.from, &d.what, &d.rumours, now);
+            changes.iter().for_each(|(ip, state)| log::info!("members: {} is {state:?}.", addr(*ip)));
+            if let What::Vote(vote) = &d.what
+                && let Some(vote) = w.claims.heard(d.from, vote, now)
+            {
+                back.push((d.from, What::Vote(vote)));
+            }
+            back.into_iter().map(|(to, what)| (to, w.datagram(to, what))).collect()
+        };
+        for (to, bytes) in out {
+            socket.send_to(&bytes, SocketAddr::new(addr(to), port)).await.ok();
+        }
+    }
+}
+
+async fn get(at: SocketAddr, path: String) -> Result<(StatusCode, Vec<u8>), String> {
+    let stream = TcpStream::connect(at).await.map_err(|e| e.to_string())?;
+    stream.set_nodelay(true).ok();
+    let (mut send, conn) =
+        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    tokio::task::spawn_local(async move { conn.await.ok() });
+    let request = Request::get(path).header("host", at.to_string()).body(Empty::<Bytes>::new());
+    let answer = send.send_request(request.map_err(|e| e.to_string())?).await.map_err(|e| e.to_string())?;
+    let status = answer.status();
+    let body = answer.into_body().collect().await.map_err(|e| e.to_string())?.to_bytes();
+    Ok((status, body.to_vec()))
+}
+
+/// The clerk reads the platform's list, page by page, within the rate that all share: one holder, so it is its alone.
+async fn poll(warden: Shared) {
+    let Some((at, rate)) = warden.borrow().settings.cloud else { return };
+    // Half of the rate: two holders in a row, each with its own calls in one second, stay within it.
+    let apart = Duration::from_secs_f64(2.0 / rate);
+    loop {
+        let Some((term, _)) = warden.borrow().reign else {
+            sleep(TICK).await;
+            continue;
+        };
+        let (mut all, mut token, mut whole) = (Vec::new(), None::<String>, false);
+        let began = Instant::now();
+        loop {
+            let path = token.as_ref().map_or("/instances".into(), |t| format!("/instances?page_token={t}"));
+            match timeout(CLOUD, get(at, path)).await {
+                Ok(Ok((StatusCode::OK, body))) => match list::page(body) {
+                    Ok((servers, next)) => {
+                        all.extend(servers);
+                        token = next;
+                        whole = token.is_none();
+                    }
+                    Err(why) => log::warn!("list: {why}."),
+                },
+                Ok(Ok((status, _))) => log::warn!("list: answered {status}."),
+                Ok(Err(why)) => log::warn!("list: {why}."),
+                Err(_) => log::warn!("list: no answer in time."),
+            }
+            if token.is_none() || whole {
+                break;
+            }
+            sleep(apart).await;
+        }
+        if whole {
+            let mut w = warden.borrow_mut();
+            all.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+            if w.reign.is_some_and(|r| r.0 == term) {
+                let news = !w.listed || list::is_news(&w.servers, &all);
+                w.listed = true;
+                w.servers = all;
+                if news {
+                    log::info!("list: {} backends.", w.servers.len());
+                    w.list_to(None);
+                }
+            }
+        }
+        sleep(POLL.saturating_sub(began.elapsed()).max(apart)).await;
+    }
+}
+
+type Answer = Response<Full<Bytes>>;
+
+fn answer(status: StatusCode, body: impl Into<Bytes>) -> Answer {
+    let mut a = Response::new(Full::new(body.into()));
+    *a.status_mut() = status;
+    a.headers_mut().insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
+    a
+}
+
+fn error(status: StatusCode, why: &str) -> Answer {
+    let why: String =
+        why.chars().map(|c| if c == '"' || c == '\\' || c.is_control() { ' ' } else { c }).collect();
+    answer(status, format!("{{\"error\":\"{why}\"}}"))
+}
+
+async fn order(warden: &Shared, order: Order) -> Answer {
+    let asked = warden.borrow_mut().ask(order);
+    let Some(reply) = asked else {
+        return error(StatusCode::SERVICE_UNAVAILABLE, "the store is not reached");
+    };
+    match timeout(ANSWER, reply).await {
+        Ok(Ok(Reply::Done)) => answer(StatusCode::OK, "{}"),
+        Ok(Ok(Reply::Book(items))) => {
+            let mut book = Book::default();
+            items.into_iter().filter(|i| i.key.kind != Kind::Evacuation).for_each(|i| {
+                book.merge(i);
+            });
+            answer(StatusCode::OK, book.show())
+        }
+        Ok(Ok(Reply::Invalid(why))) => {
+            log::info!("operator: a call is turned down: {why}.");
+            error(StatusCode::BAD_REQUEST, &why)
+        }
+        Ok(Ok(Reply::Unsettled(why))) => error(StatusCode::SERVICE_UNAVAILABLE, &why),
+        Ok(Err(_)) | Err(_) => error(StatusCode::SERVICE_UNAVAILABLE, "the store did not answer in time"),
+    }
+}
+
+async fn call(warden: Shared, request: Request<Incoming>) -> Result<Answer, Infallible> {
+    let uri = request.uri().clone();
+    Ok(match calls::read(request.method().as_str(), uri.path(), uri.query()) {
+        Err(Miss::Path) => error(StatusCode::NOT_FOUND, "no such call"),
+        Err(Miss::Method) => error(StatusCode::METHOD_NOT_ALLOWED, "no such method here"),
+        Ok(Call::Lookup { region, zone }) => {
+            let w = warden.borrow();
+            let all = guide::near(&w.posts(), &region, &zone);
+            let ttl = TTL_S.min(w.settings.bound("ttl_max_s", TTL_S));
+            if all.is_empty() {
+                error(StatusCode::SERVICE_UNAVAILABLE, "no proxy is known")
+            } else {
+                let all: Vec<String> = all.into_iter().map(|a| format!("\"{a}\"")).collect();
+                answer(StatusCode::OK, format!("{{\"addresses\":[{}],\"ttl_s\":{ttl}}}", all.join(",")))
+            }
+        }
+        Ok(Call::Read) => order(&warden, Order::Read).await,
+        Ok(Call::Evacuate { zone, .. }) if !warden.borrow().settings.zones.contains_key(&zone) => {
+            error(StatusCode::NOT_FOUND, "no such zone")
+        }
+        Ok(Call::Evacuate { zone, on }) => {
+            log::info!("operator: evacuation of {zone}: {}.", if on { "asked for" } else { "taken back" });
+            order(&warden, Order::Evacuate { zone, on }).await
+        }
+        Ok(Call::Change) => match Limited::new(request.into_body(), CALL).collect().await {
+            Err(_) => error(StatusCode::BAD_REQUEST, "the body breaks off, or is too large"),
+            Ok(body) => match Change::read(body.to_bytes().to_vec()) {
+                Ok(change) => order(&warden, Order::Change(change)).await,
+                Err(e) => error(StatusCode::BAD_REQUEST, &e.to_string()),
+            },
+        },
+    })
+}
+
+async fn outside(warden: Shared, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(REDIAL).await;
+            continue;
+        };
+        stream.set_nodelay(true).ok();
+        let warden = warden.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request| call(warden.clone(), request));
+            let http =
+                hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            timeout(Duration::from_secs(60), http).await.ok();
+        });
+    }
+}
+
+async fn run(settings: Settings) -> Result<(), String> {
+    let settings = Rc::new(settings);
+    let me = ip(settings.ip);
+    let seeds: Vec<Ip> = settings.seed_ips().into_iter().map(ip).collect();
+    let warden = Rc::new(RefCell::new(Warden {
+        me,
+        start: Instant::now(),
+        members: Members::new(me, seeds, Duration::ZERO),
+        claims: Claims::new(me, Duration::ZERO),
+        tally: Tally::default(),
+        size: 1,
+        time: None,
+        reign: None,
+        porters: BTreeMap::new(),
+        seen: BTreeMap::new(),
+        beat: Duration::ZERO,
+        book: Book::default(),
+        servers: Vec::new(),
+        listed: false,
+        coffer: None,
+        asks: HashMap::new(),
+        next: 0,
+        roster: (Vec::new(), 0),
+        leaving: false,
+        settings: settings.clone(),
+    }));
+    let socket = UdpSocket::bind(settings.inner(settings.ip, Port::Gossip)).await;
+    let socket = Rc::new(socket.map_err(|e| format!("the port for datagrams: {e}"))?);
+    tokio::task::spawn_local(inner(warden.clone(), link::listen(settings.inner(settings.ip, Port::Warden))?));
+    tokio::task::spawn_local(coffer(warden.clone()));
+    tokio::task::spawn_local(gossip(warden.clone(), socket.clone()));
+    tokio::task::spawn_local(poll(warden.clone()));
+    for name in ["control", "directory"] {
+        if let Ok(at) = settings.listens(name) {
+            tokio::task::spawn_local(outside(warden.clone(), link::listen(at)?));
+        }
+    }
+    let port = settings.inner(settings.ip, Port::Gossip).port();
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+    let mut tick = interval(TICK);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    log::info!("warden: {} serves.", settings.node);
+    let send = async |out: Vec<(Ip, Vec<u8>)>| {
+        for (to, bytes) in out {
+            socket.send_to(&bytes, SocketAddr::new(addr(to), port)).await.ok();
+        }
+    };
+    loop {
+        tokio::select! {
+            _ = tick.tick() => {
+                let out = warden.borrow_mut().tick();
+                send(out).await;
+            }
+            _ = terminate.recv() => {
+                let out: Vec<(Ip, Vec<u8>)> = {
+                    let mut w = warden.borrow_mut();
+                    w.leaving = true;
+                    let (now, alive, size) = (w.now(), w.members.alive(), w.size);
+                    match w.claims.leave(now, &alive, size) {
+                        Some(vote) => {
+                            if let Vote::Yield { to, .. } = &vote {
+                                log::info!("clerk: names {} its successor.", addr(*to));
+                            }
+                            w.reign = None;
+                            let others = alive.into_iter().filter(|a| *a != me);
+                            others.map(|a| (a, w.datagram(a, What::Vote(vote.clone())))).collect()
+                        }
+                        None => vec![],
+                    }
+                };
+                send(out).await;
+                // Calls that are under way are answered.
+                sleep(Duration::from_millis(1200)).await;
+                log::info!("warden: ends.");
+                return Ok(());
+            }
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let about = "One warden: the registry, and the outside calls. Configured by DAMSONBEAM_CONFIG.";
+    let () = bpaf::Parser::to_options(bpaf::pure(())).descr(about).run();
+    damsonbeam_market::logs();
+    let outcome = Settings::read().map_err(|e| e.to_string()).and_then(|settings| {
+        let options = tokio::runtime::LocalOptions::default();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build_local(options);
+        runtime.map_err(|e| format!("runtime: {e}"))?.block_on(run(settings))
+    });
+    damsonbeam_market::ended("warden", outcome)
+}
