--- a/crates/porter/src/desk.rs
+++ b/crates/porter/src/desk.rs
@@ -105,8 +105,12 @@
     }
 
     /// The module for a request on that route, and its operation there.
-    pub fn desk(&mut self, route: &Route, homes: &Homes) -> (mpsc::Sender<ToModule>, OpId) {
+    /// None where there is no backend that may serve it.
+    pub fn desk(&mut self, route: &Route, homes: &Homes) -> Option<(mpsc::Sender<ToModule>, OpId)> {
         let service = Chart::service(route, rand::rng().random()).to_owned();
+        if !self.stock.borrow().has(&service, homes) {
+            return None;
+        }
         self.purse.borrow_mut().earn(&service);
         let attempts = route.attempts.max(1);
         let list = homes.as_ref().map(|h| h.iter().cloned().collect());
@@ -125,7 +129,7 @@
             desk.to.try_send(ToModule::Settings(Box::new(desk.settings.clone()))).ok();
             op
         });
-        (desk.to.clone(), op)
+        Some((desk.to.clone(), op))
     }
 
     fn open(&self, key: &Key, homes: Homes) -> Desk {
@@ -164,6 +168,13 @@
         tokio::task::spawn_local(module.run());
         let desk = Desk { service: key.service.clone(), homes, to, settings, operations: HashMap::new() };
         self.tell(&desk);
+        let lines = self.stock.borrow().lines(&key.service, &desk.homes, self.clock.now()).len();
+        log::info!(
+            "desk: {} for homes {:?}, {} attempts, {lines} backends.",
+            key.service,
+            key.homes,
+            key.attempts
+        );
         desk
     }
 
--- a/crates/porter/src/speech.rs
+++ b/crates/porter/src/speech.rs
@@ -74,7 +74,10 @@
             })?;
         let homes = Chart::homes(route, tenant.map(|t| &**t));
         let mut desks = self.desks.borrow_mut();
-        let (to, op) = desks.desk(route, &homes);
+        let Some((to, op)) = desks.desk(route, &homes) else {
+            // Nowhere may it be served: homes that have nothing in common, or a service without backends.
+            return Err(Box::new(later(StatusCode::SERVICE_UNAVAILABLE, Some(Duration::from_secs(1)))));
+        };
         let plan = tenant.map_or(PlanId(usize::MAX), |t| desks.plan(&t.name));
         let customer = CustomerId(tenant.map_or("", |t| &t.name).into());
         let told = Invocation {
--- a/crates/porter/src/stock.rs
+++ b/crates/porter/src/stock.rs
@@ -78,6 +78,12 @@
         self.zones.get(zone).map_or("", |r| r)
     }
 
+    /// Whether any backend of a service may serve what has these homes.
+    pub fn has(&self, service: &str, homes: &Homes) -> bool {
+        let may = |s: &Server| homes.as_ref().is_none_or(|h| h.contains(self.region_of(&s.zone)));
+        self.servers.iter().any(|s| s.service == service && may(s))
+    }
+
     /// The backends of a service that may serve what has these homes.
     pub fn lines(&self, service: &str, homes: &Homes, now: Duration) -> Vec<Line> {
         let may = |s: &&Server| {
--- a/crates/porter/src/toll.rs
+++ b/crates/porter/src/toll.rs
@@ -28,6 +28,8 @@
 const STAYS: Duration = Duration::from_millis(2000);
 /// Units let in here since the others were heard of from which it is taken that each of them does the same.
 const SPARE: f64 = 1.0;
+/// Tenants that are not near their quotas are told of so often.
+const CALM: Duration = Duration::from_millis(150);
 /// Names are kept longer than any window.
 const KEEP: Duration = Duration::from_secs(16);
 
@@ -100,6 +102,8 @@
     /// The common time less the module's, in seconds.
     ahead: f64,
     swept: Duration,
+    /// When all was said last.
+    told_calm: Option<Duration>,
 }
 
 /// A slot of the module's and its tenant.
@@ -119,7 +123,7 @@
     pub fn link(&mut self, linked: bool, anew: bool) {
         if anew || linked != self.linked {
             self.names.values_mut().for_each(|n| n.sent = None);
-            self.unanswered = None;
+            (self.unanswered, self.told_calm) = (None, None);
         }
         self.linked = linked;
     }
@@ -203,8 +207,13 @@
         if !self.linked {
             return vec![];
         }
+        let calm = self.told_calm.is_some_and(|t| now < t + CALM);
+        let tenants = &self.tenants;
+        // Far from its quota a tenant's counts can wait for company; the others reckon with its pace meanwhile.
+        let waits = |n: &Name| calm && tenants.get(&n.tenant).is_none_or(|t| now >= t.near_until);
         let over = |n: &Name| !n.last_asked && n.own > 0.0 && !n.ends.is_zero() && now >= n.ends + STALE;
-        let changed = self.names.iter_mut().filter(|(_, n)| n.sent.unwrap_or(0.0) != n.own || over(n));
+        let changed =
+            self.names.iter_mut().filter(|(_, n)| (n.sent.unwrap_or(0.0) != n.own || over(n)) && !waits(n));
         let out: Vec<(String, f64)> = changed
             .map(|(name, n)| {
                 n.sent = Some(n.own);
@@ -212,6 +221,9 @@
                 (name.clone(), n.own)
             })
             .collect();
+        if !calm {
+            self.told_calm = Some(now);
+        }
         if !out.is_empty() {
             self.unanswered.get_or_insert(now);
         }
