--- a/crates/coffer/src/main.rs
+++ b/crates/coffer/src/main.rs
@@ -201,6 +201,9 @@
 }
 
 async fn run(settings: Settings) -> Result<(), String> {
+    // SIGHUP ends a program that has not asked for it.
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
     let settings = Rc::new(settings);
     let me = ip(settings.ip);
     let dir = settings.data.clone().ok_or("data_directory: a coffer needs one")?;
@@ -252,7 +255,6 @@
     let mut held: HashMap<Ip, tokio::task::JoinHandle<()>> = HashMap::new();
     let mut tick = interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
     loop {
         tokio::select! {
             Some(mail) = mailbox.recv() => coffer.mail(mail, &roster)?,
@@ -268,6 +270,7 @@
                     }
                 }
             }
+            _ = hangup.recv() => damsonbeam_market::reloaded("coffer"),
             _ = terminate.recv() => {
                 log::info!("coffer: ends.");
                 return Ok(());
--- /dev/null
+++ b/crates/coffer/tests/worlds.rs
@@ -0,0 +1,307 @@
+//! Seeded worlds of coffers: messages delayed and lost, cuts, kills, powers lost, disks emptied within what may be
+//! lost at once; operators' writes that clash. What was acknowledged stays, what was read never goes back.
+//!
+//! `WORLDS` sets how many are played, `WORLD` plays one by its seed.
+
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::time::Duration;
+
+use damsonbeam_coffer::agree::{Act, Agree, Keep, Kept};
+use damsonbeam_market::items::{Book, Change, Item, Key, Kind};
+use damsonbeam_market::note::{Ip, Note, Order, Reply};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const TICK: u64 = 20;
+/// Trouble and writes end here; the world goes on in peace for a while.
+const PEACE: u64 = 25_000;
+const END: u64 = 45_000;
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum What {
+    Heard { from: usize, to: usize, life: (u32, u32), no: usize },
+    Up(usize),
+}
+
+struct World {
+    rng: SmallRng,
+    now: u64,
+    coffers: Vec<Option<Agree>>,
+    lives: Vec<u32>,
+    disks: Vec<Kept>,
+    /// Empty disks that are not mended yet, by coffer.
+    wiped: BTreeSet<usize>,
+    queue: BinaryHeap<std::cmp::Reverse<(u64, What)>>,
+    notes: Vec<Note>,
+    cut: BTreeSet<usize>,
+    cut_until: u64,
+    orders: BTreeMap<u64, Order>,
+    next: u64,
+    /// What was acknowledged: the highest version by name.
+    acked: BTreeMap<String, u64>,
+    /// What was read: version and text by name; neither ever goes back.
+    read: BTreeMap<String, (u64, Option<Vec<u8>>)>,
+    done: usize,
+    reads: usize,
+}
+
+fn ip(n: usize) -> Ip {
+    [10, 0, 0, n as u8 + 1]
+}
+
+impl World {
+    fn new(seed: u64, size: usize) -> Self {
+        let mut w = World {
+            rng: SmallRng::seed_from_u64(seed),
+            now: 0,
+            coffers: Vec::new(),
+            lives: vec![0; size],
+            disks: vec![Kept::default(); size],
+            wiped: BTreeSet::new(),
+            queue: BinaryHeap::new(),
+            notes: Vec::new(),
+            cut: BTreeSet::new(),
+            cut_until: 0,
+            orders: BTreeMap::new(),
+            next: 0,
+            acked: BTreeMap::new(),
+            read: BTreeMap::new(),
+            done: 0,
+            reads: 0,
+        };
+        w.coffers = (0..size).map(|n| Some(w.start(n, true))).collect();
+        w
+    }
+
+    fn start(&mut self, n: usize, first: bool) -> Agree {
+        let mut a = Agree::new(ip(n), self.disks[n].clone(), first, self.rng.random(), at(self.now));
+        let all: Vec<Ip> = (0..self.disks.len()).map(ip).collect();
+        a.roster(&all, all.len() as u32);
+        a
+    }
+
+    fn keep(&mut self, n: usize, keep: &Keep) {
+        let disk = &mut self.disks[n];
+        match keep {
+            Keep::Promised(b) => disk.promised = *b,
+            Keep::Whole => {
+                disk.whole = true;
+                self.wiped.remove(&n);
+            }
+            Keep::Accepted(items) => items.iter().for_each(|i| {
+                disk.accepted.merge(i.clone());
+            }),
+            Keep::Decided(items) => items.iter().for_each(|i| {
+                disk.decided.merge(i.clone());
+            }),
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, note: Note) {
+        let apart = (self.cut.contains(&from) != self.cut.contains(&to)) && self.now < self.cut_until;
+        if apart || from == to || (self.now < PEACE && self.rng.random::<f64>() < 0.03) {
+            return;
+        }
+        let way = self.rng.random_range(1..70);
+        self.notes.push(note);
+        let (no, life) = (self.notes.len() - 1, (self.lives[from], self.lives[to]));
+        self.queue.push(std::cmp::Reverse((self.now + way, What::Heard { from, to, life, no })));
+    }
+
+    fn carry_out(&mut self, n: usize) {
+        let Some(acts) = self.coffers[n].as_mut().map(Agree::done) else { return };
+        for act in &acts {
+            if let Act::Keep(keep) = act {
+                self.keep(n, keep);
+            }
+        }
+        for act in acts {
+            match act {
+                Act::Keep(_) | Act::News(_) => {}
+                Act::Send(to, note) => self.send(n, to[3] as usize - 1, note),
+                Act::Broadcast(note) => (0..self.disks.len()).for_each(|to| self.send(n, to, note.clone())),
+                Act::Reply(no, reply) => self.reply(no, reply),
+            }
+        }
+    }
+
+    fn reply(&mut self, no: u64, reply: Reply) {
+        let Some(order) = self.orders.remove(&no) else { return };
+        match (order, reply) {
+            (Order::Change(change), Reply::Done) => {
+                self.done += 1;
+                for item in change.items {
+                    let v = self.acked.entry(item.key.name).or_default();
+                    *v = (*v).max(item.version);
+                }
+            }
+            (Order::Read, Reply::Book(items)) => {
+                self.reads += 1;
+                let mut book = Book::default();
+                for i in &items {
+                    book.items.insert(i.key.clone(), i.clone());
+                }
+                assert_eq!(book.check(), Ok(()), "what is read is no valid configuration");
+                for (name, (version, body)) in &self.read {
+                    let item =
+                        items.iter().find(|i| i.key.name == *name).expect("an item that was read is gone");
+                    assert!(item.version >= *version, "{name} went back from {version} to {}", item.version);
+                    assert!(
+                        item.version > *version || item.body == *body,
+                        "{name} changed at version {version}"
+                    );
+                }
+                self.read = items.into_iter().map(|i| (i.key.name, (i.version, i.body))).collect();
+            }
+            _ => {}
+        }
+    }
+
+    fn order(&mut self, n: usize, order: Order) {
+        self.next += 1;
+        let Some(a) = &mut self.coffers[n] else { return };
+        self.orders.insert(self.next, order.clone());
+        a.order(self.next, order, at(self.now));
+        self.carry_out(n);
+    }
+
+    /// A write by an operator: of few names, with versions and places that clash.
+    fn write(&mut self) {
+        let mut items = Vec::new();
+        for _ in 0..self.rng.random_range(1..3) {
+            let name = format!("r{}", self.rng.random_range(0..4));
+            let version = self.acked.get(&name).copied().unwrap_or(0) + self.rng.random_range(0..3);
+            let prefix = self.rng.random_range(0..6);
+            let timeout = self.rng.random_range(1000..9000);
+            let body = (self.rng.random::<f64>() > 0.15).then(|| {
+                format!(
+                    r#"{{"name":"{name}","host_name":"h","path_prefix":"/{prefix}/","route_type":"read_only","timeout_ms":{timeout},"target_latency_ms":500,"target_service":"s","config_version":"r{version}"}}"#
+                )
+                .into_bytes()
+            });
+            let key = Key { kind: Kind::Route, name };
+            items.push(Item { key, version, ballot: Default::default(), body });
+        }
+        items.dedup_by(|a, b| a.key == b.key);
+        let n = self.rng.random_range(0..self.disks.len());
+        self.order(n, Order::Change(Change { items }));
+    }
+
+    fn down(&mut self, n: usize, back: u64) {
+        self.coffers[n] = None;
+        self.lives[n] += 1;
+        self.queue.push(std::cmp::Reverse((self.now + back, What::Up(n))));
+    }
+
+    /// One of the troubles that must be borne; a disk is emptied only where no other is still being mended.
+    fn trouble(&mut self) {
+        let size = self.disks.len();
+        let n = self.rng.random_range(0..size);
+        let back = self.rng.random_range(100..3000);
+        match self.rng.random_range(0..6) {
+            0 => self.down(n, back),
+            1 if self.wiped.is_empty() && self.coffers.iter().all(Option::is_some) => {
+                self.disks[n] = Kept::default();
+                self.wiped.insert(n);
+                self.down(n, back);
+            }
+            // All of them at once, their disks kept.
+            2 => (0..size).for_each(|n| self.down(n, back)),
+            3 | 4 => {
+                let some = self.rng.random_range(1..size / 2 + 1);
+                self.cut = (0..some).map(|_| self.rng.random_range(0..size)).collect();
+                self.cut_until = self.now + back * 2;
+            }
+            // A region: two in a row.
+            _ => [n, (n + 1) % size].into_iter().for_each(|n| self.down(n, back)),
+        }
+    }
+
+    fn play(mut self) -> (usize, usize) {
+        let (mut write, mut trouble) = (2000, 4000);
+        while self.now < END {
+            self.now += TICK;
+            while self.queue.peek().is_some_and(|e| e.0.0 <= self.now) {
+                let std::cmp::Reverse((_, what)) = self.queue.pop().expect("seen above");
+                match what {
+                    What::Heard { from, to, life, no } => {
+                        if life == (self.lives[from], self.lives[to])
+                            && let Some(a) = &mut self.coffers[to]
+                        {
+                            a.heard(ip(from), self.notes[no].clone(), at(self.now));
+                            self.carry_out(to);
+                        }
+                    }
+                    What::Up(n) if self.coffers[n].is_none() => self.coffers[n] = Some(self.start(n, false)),
+                    What::Up(_) => {}
+                }
+            }
+            for n in 0..self.disks.len() {
+                if let Some(a) = &mut self.coffers[n] {
+                    a.tick(at(self.now));
+                    self.carry_out(n);
+                }
+            }
+            if self.now < PEACE && self.now >= write {
+                write = self.now + self.rng.random_range(50..900);
+                self.write();
+                if self.rng.random::<f64>() < 0.3 {
+                    let n = self.rng.random_range(0..self.disks.len());
+                    self.order(n, Order::Read);
+                }
+            }
+            if self.now < PEACE && self.now >= trouble {
+                trouble = self.now + self.rng.random_range(1500..6000);
+                self.trouble();
+            }
+            if self.now > PEACE + 8000 && self.now.is_multiple_of(2000) {
+                let n = (self.now / 2000) as usize % self.disks.len();
+                self.order(n, Order::Read);
+            }
+        }
+        for (name, version) in &self.acked {
+            let read = self.read.get(name).map(|r| r.0);
+            assert!(
+                read.is_some_and(|r| r >= *version),
+                "{name}: {version} was acknowledged, {read:?} is read"
+            );
+        }
+        let all: BTreeSet<u64> = self.disks.iter().map(|d| d.decided.digest()).collect();
+        assert_eq!(all.len(), 1, "copies differ after a quiet time");
+        (self.done, self.reads)
+    }
+}
+
+fn service(w: &mut World) {
+    let key = Key { kind: Kind::Service, name: "s".into() };
+    let body = Some(br#"{"name":"s","health_path":"/health","config_version":"r1"}"#.to_vec());
+    let item = Item { key, version: 1, ballot: Default::default(), body };
+    w.now = 1600;
+    w.order(0, Order::Change(Change { items: vec![item] }));
+}
+
+#[test]
+fn what_is_acknowledged_stays_in_every_world_and_nothing_read_goes_back() {
+    let number = |name: &str| std::env::var(name).ok().and_then(|v| v.parse::<u64>().ok());
+    let seeds: Vec<u64> = match number("WORLD") {
+        Some(seed) => vec![seed],
+        None => (0..number("WORLDS").unwrap_or(60)).collect(),
+    };
+    let (mut done, mut reads) = (0, 0);
+    for seed in seeds {
+        let size = [6, 9, 5][seed as usize % 3];
+        let played = std::panic::catch_unwind(|| {
+            let mut w = World::new(seed, size);
+            service(&mut w);
+            w.play()
+        });
+        let (d, r) = played.unwrap_or_else(|_| panic!("world {seed}: WORLD={seed} plays it again"));
+        (done, reads) = (done + d, reads + r);
+    }
+    assert!(done > 0 && reads > 0, "{done} writes and {reads} reads came through");
+    println!("{done} writes acknowledged, {reads} reads");
+}
--- a/crates/market/src/lib.rs
+++ b/crates/market/src/lib.rs
@@ -28,6 +28,15 @@
         .apply();
 }
 
+/// SIGHUP says that the settings file has changed. What it holds is fixed for a process's life (addresses, place,
+/// bounds) but for the seeds, which members replace; so it is only checked, and what is wrong with it is told.
+pub fn reloaded(part: &str) {
+    match settings::Settings::read() {
+        Ok(_) => log::info!("{part}: SIGHUP, the settings file is whole."),
+        Err(e) => log::warn!("{part}: SIGHUP, {e}; the old settings stay."),
+    }
+}
+
 /// Ends a program: an error is one line.
 pub fn ended(part: &str, outcome: Result<(), String>) -> ExitCode {
     match outcome {
--- a/crates/porter/src/main.rs
+++ b/crates/porter/src/main.rs
@@ -199,10 +199,7 @@
                     k.stand.ready = false;
                     k.tell_all();
                 }
-                _ = reload.recv() => match Settings::read() {
-                    Ok(_) => log::info!("porter: SIGHUP, the settings file is whole."),
-                    Err(e) => log::warn!("porter: SIGHUP, {e}; the old settings stay."),
-                },
+                _ = reload.recv() => damsonbeam_market::reloaded("porter"),
             }
         }
         match word {
--- a/crates/warden/src/main.rs
+++ b/crates/warden/src/main.rs
@@ -569,6 +569,9 @@
 }
 
 async fn run(settings: Settings) -> Result<(), String> {
+    // SIGHUP ends a program that has not asked for it.
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
     let settings = Rc::new(settings);
     let me = ip(settings.ip);
     let seeds: Vec<Ip> = settings.seed_ips().into_iter().map(ip).collect();
@@ -606,7 +609,6 @@
         }
     }
     let port = settings.inner(settings.ip, Port::Gossip).port();
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
     let mut tick = interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     log::info!("warden: {} serves.", settings.node);
@@ -621,6 +623,7 @@
                 let out = warden.borrow_mut().tick();
                 send(out).await;
             }
+            _ = hangup.recv() => damsonbeam_market::reloaded("warden"),
             _ = terminate.recv() => {
                 let out: Vec<(Ip, Vec<u8>)> = {
                     let mut w = warden.borrow_mut();
