--- a/crates/coffer/src/store.rs
+++ b/crates/coffer/src/store.rs
@@ -73,19 +73,18 @@
     /// # Errors
     /// Where the file can't be opened, or holds no store.
     pub fn open(dir: &Path) -> Result<Self, Fault> {
-        let path = dir.join("items.redb");
+        let (path, fresh) = (dir.join("items.redb"), dir.join("items.new"));
         let file = |e: io::Error| Fault::File { file: path.display().to_string(), why: e.to_string() };
         std::fs::create_dir_all(dir).map_err(file)?;
-        let os = OpenOptions::new()
-            .read(true)
-            .write(true)
-            .create(true)
-            .truncate(false)
-            .open(&path)
-            .map_err(file)?;
-        // Its name must outlast a loss of power too.
-        OsFile::open(dir).and_then(|d| d.sync_all()).map_err(file)?;
-        Self::on(File(os))
+        if !path.exists() {
+            // A store half made is none, and would be refused for good: it gets its name once it is whole, and the
+            // name must outlast a loss of power too.
+            let os = OpenOptions::new().read(true).write(true).create(true).truncate(true).open(&fresh);
+            drop(Self::on(File(os.map_err(file)?))?);
+            std::fs::rename(&fresh, &path).map_err(file)?;
+            OsFile::open(dir).and_then(|d| d.sync_all()).map_err(file)?;
+        }
+        Self::on(File(OpenOptions::new().read(true).write(true).open(&path).map_err(file)?))
     }
 
     /// # Errors
