--- a/crates/coffer/src/agree.rs
+++ b/crates/coffer/src/agree.rs
@@ -1,7 +1,7 @@
 //! How coffers agree on the items of the configuration, free of I/O.
 //!
 //! Any coffer takes a write. It prepares a ballot at a majority, which tells it all items accepted so far; it
-//! merges them item by item, applies the call to the whole, checks the result, and has a majority accept what is
+//! merges them item by item (of two proposals for one, the later ballot's), applies the call to the whole, checks the result, and has a majority accept what is
 //! new. There is no log and no leader: each item stands for itself, by version and, of one version, by ballot.
 //! What a majority has accepted is decided; only that is acknowledged and told to the proxies.
 //!
@@ -60,8 +60,16 @@
 
 #[derive(Debug)]
 enum Phase {
-    Prepare { promises: BTreeSet<Ip>, gathered: Book },
-    Accept { accepts: BTreeSet<Ip>, items: Vec<Item>, replies: Vec<(u64, Reply)> },
+    Prepare {
+        promises: BTreeSet<Ip>,
+        gathered: Book,
+    },
+    /// What is proposed; the orders are carried out once nothing that was left is undecided.
+    Accept {
+        accepts: BTreeSet<Ip>,
+        items: Vec<Item>,
+        replies: Option<Vec<(u64, Reply)>>,
+    },
 }
 
 #[derive(Debug)]
@@ -187,7 +195,7 @@
         self.no += 1;
         let ballot = Ballot { round: self.highest, writer: writer(self.me) };
         self.promise(ballot);
-        let digest = self.kept.accepted.digest();
+        let digest = (self.kept.accepted.digest(), self.kept.decided.digest());
         let phase = Phase::Prepare { promises: [self.me].into(), gathered: self.kept.accepted.clone() };
         self.round = Some(Round { no: self.no, ballot, orders, until: now + PHASE, phase });
         self.out.push(Act::Broadcast(Note::Prepare { no: self.no, ballot, digest }));
@@ -218,8 +226,9 @@
                 if ok {
                     self.promise(ballot);
                 }
-                let same = digest == self.kept.accepted.digest();
-                let items = (ok && !same).then(|| self.kept.accepted.items.values().cloned().collect());
+                let same = digest == (self.kept.accepted.digest(), self.kept.decided.digest());
+                let all = |b: &Book| b.items.values().cloned().collect();
+                let items = (ok && !same).then(|| (all(&self.kept.accepted), all(&self.kept.decided)));
                 let (whole, ballot) = (self.kept.whole, self.kept.promised);
                 self.out.push(Act::Send(from, Note::Promise { no, ok, whole, ballot, items }));
             }
@@ -230,18 +239,24 @@
                 if !ok {
                     return self.give_up(now);
                 }
-                for item in items.into_iter().flatten() {
-                    gathered.merge(item);
+                let (items, decided) = items.unwrap_or_default();
+                for item in items.into_iter().chain(decided.iter().cloned()) {
+                    gathered.replace(item);
                 }
                 if whole {
                     promises.insert(from);
                 }
+                self.accept(decided.clone());
+                self.decide(decided);
                 self.gathered(now);
             }
-            Note::Accept { no, ballot, items } => {
+            Note::Accept { no, ballot, items, decided } => {
                 let ok = ballot >= self.kept.promised;
                 if ok {
                     self.promise(ballot);
+                    // Known before its place is taken: were the proposal dropped, this would stand again.
+                    self.accept(decided.clone());
+                    self.decide(decided);
                     self.accept(items);
                 }
                 // One that is not whole has the items all the same, but its word does not count yet.
@@ -255,7 +270,7 @@
                 let Phase::Accept { accepts, .. } = &mut round.phase else { return };
                 if ok {
                     accepts.insert(from);
-                    self.accepted();
+                    self.accepted(now);
                 } else if clash {
                     self.give_up(now);
                 }
@@ -303,21 +318,22 @@
     }
 
     fn accept(&mut self, items: Vec<Item>) {
-        let new: Vec<Item> = items.into_iter().filter(|i| self.kept.accepted.merge(i.clone())).collect();
+        let new: Vec<Item> = items.into_iter().filter(|i| self.kept.accepted.replace(i.clone())).collect();
         if !new.is_empty() {
             self.out.push(Act::Keep(Keep::Accepted(new)));
         }
     }
 
     fn decide(&mut self, items: Vec<Item>) {
-        let new: Vec<Item> = items.into_iter().filter(|i| self.kept.decided.merge(i.clone())).collect();
+        let new: Vec<Item> = items.into_iter().filter(|i| self.kept.decided.replace(i.clone())).collect();
         if !new.is_empty() {
             self.out.push(Act::Keep(Keep::Decided(new.clone())));
             self.out.push(Act::News(new));
         }
     }
 
-    /// A majority has told what it accepted: the whole is known, and the orders are carried out on it.
+    /// A majority has told what it accepted. What was left undecided by others' writes is decided first: an order may
+    /// take the place of an item only where it is known to be decided, and is told so along with what replaces it.
     fn gathered(&mut self, now: Duration) {
         let majority = self.majority();
         let Some(round) = &mut self.round else { return };
@@ -327,51 +343,76 @@
         }
         let mut book = std::mem::take(gathered);
         settle(&mut book, &self.kept.decided);
-        let mut replies = Vec::new();
         let ballot = round.ballot;
+        let left = book.items.values().filter(|i| self.kept.decided.items.get(&i.key) != Some(i));
+        let left: Vec<Item> = left.map(|i| Item { ballot, ..i.clone() }).collect();
+        if left.is_empty() {
+            self.carry_out(now);
+        } else {
+            self.propose(left, None, now);
+        }
+    }
+
+    /// All that may have been decided is decided here, and nobody else's write can be by a lower ballot any more.
+    fn carry_out(&mut self, now: Duration) {
+        let Some(round) = &self.round else { return };
+        let (mut book, ballot, mut replies) = (self.kept.decided.clone(), round.ballot, Vec::new());
         for (no, order, _) in &round.orders {
             let (next, reply) = carry_out(&book, order, ballot);
-            if let Some(next) = next {
-                book = next;
-            }
+            book = next.unwrap_or(book);
             replies.push((*no, reply));
         }
-        // What is not known to be decided is proposed again, by this ballot.
-        let fresh = book.items.values().filter(|i| self.kept.decided.items.get(&i.key) != Some(i));
-        let items: Vec<Item> = fresh.map(|i| Item { ballot, ..i.clone() }).collect();
-        for (no, reply) in &mut replies {
-            if *reply == Reply::Book(Vec::new()) {
-                *reply = Reply::Book(book.items.values().cloned().collect());
-            }
-            let _ = no;
+        for (_, reply) in replies.iter_mut().filter(|r| r.1 == Reply::Book(Vec::new())) {
+            *reply = Reply::Book(book.items.values().cloned().collect());
         }
-        if items.is_empty() {
+        let new = book.items.values().filter(|i| self.kept.decided.items.get(&i.key) != Some(i));
+        let new: Vec<Item> = new.cloned().collect();
+        if new.is_empty() {
             self.round = None;
             self.clashes = 0;
             self.out.extend(replies.into_iter().map(|(no, r)| Act::Reply(no, r)));
-            return;
+        } else {
+            self.propose(new, Some(replies), now);
         }
-        let no = round.no;
+    }
+
+    fn propose(&mut self, items: Vec<Item>, replies: Option<Vec<(u64, Reply)>>, now: Duration) {
+        let me = self.me;
+        let before = items.iter().filter_map(|i| self.kept.decided.items.get(&i.key));
+        let decided: Vec<Item> = before.cloned().collect();
+        let Some(round) = &mut self.round else { return };
+        let (no, ballot) = (round.no, round.ballot);
         round.until = now + PHASE;
-        round.phase = Phase::Accept { accepts: [self.me].into(), items: items.clone(), replies };
+        round.phase = Phase::Accept { accepts: [me].into(), items: items.clone(), replies };
         self.accept(items.clone());
-        self.out.push(Act::Broadcast(Note::Accept { no, ballot, items }));
-        self.accepted();
+        self.out.push(Act::Broadcast(Note::Accept { no, ballot, items, decided }));
+        self.accepted(now);
     }
 
-    fn accepted(&mut self) {
+    fn accepted(&mut self, now: Duration) {
         let majority = self.majority();
-        let done = |r: &Round| matches!(&r.phase, Phase::Accept { accepts, .. } if accepts.len() >= majority);
-        if !self.round.as_ref().is_some_and(done) {
+        let Some(round) = &mut self.round else { return };
+        let Phase::Accept { accepts, items, replies } = &mut round.phase else { return };
+        if accepts.len() < majority {
             return;
         }
-        let Some(Round { phase: Phase::Accept { items, replies, .. }, .. }) = self.round.take() else {
-            return;
-        };
-        self.clashes = 0;
+        let (items, replies) = (std::mem::take(items), replies.take());
         self.decide(items.clone());
-        self.out.extend(replies.into_iter().map(|(no, r)| Act::Reply(no, r)));
         self.out.push(Act::Broadcast(Note::Commit { items }));
+        match replies {
+            Some(replies) => {
+                self.round = None;
+                self.clashes = 0;
+                self.out.extend(replies.into_iter().map(|(no, r)| Act::Reply(no, r)));
+            }
+            None => {
+                // The next proposal is numbered anew: an answer to the last must not count for it.
+                self.no += 1;
+                let no = self.no;
+                self.round.iter_mut().for_each(|r| r.no = no);
+                self.carry_out(now);
+            }
+        }
     }
 }
 
--- a/crates/coffer/tests/worlds.rs
+++ b/crates/coffer/tests/worlds.rs
@@ -93,10 +93,10 @@
                 self.wiped.remove(&n);
             }
             Keep::Accepted(items) => items.iter().for_each(|i| {
-                disk.accepted.merge(i.clone());
+                disk.accepted.replace(i.clone());
             }),
             Keep::Decided(items) => items.iter().for_each(|i| {
-                disk.decided.merge(i.clone());
+                disk.decided.replace(i.clone());
             }),
         }
     }
--- a/crates/market/src/items.rs
+++ b/crates/market/src/items.rs
@@ -141,6 +141,23 @@
         }
     }
 
+    /// Takes an item in if it was proposed after the one known, whatever their versions: a later proposer has seen all
+    /// that was decided before. Says whether it did.
+    pub fn replace(&mut self, item: Item) -> bool {
+        match self.items.entry(item.key.clone()) {
+            Entry::Vacant(v) => {
+                v.insert(item);
+                true
+            }
+            // Of one proposer's round the later version: what was left before it is decided first.
+            Entry::Occupied(mut o) if (o.get().ballot, o.get().version) < (item.ballot, item.version) => {
+                o.insert(item);
+                true
+            }
+            Entry::Occupied(_) => false,
+        }
+    }
+
     /// Those of a change that would have an effect here: an equal or lower version has none.
     pub fn news(&self, change: &Change) -> Vec<Item> {
         let mut out = Book::default();
--- a/crates/market/src/note.rs
+++ b/crates/market/src/note.rs
@@ -145,20 +145,23 @@
     Prepare {
         no: u64,
         ballot: Ballot,
-        digest: u64,
+        /// Digests of the items accepted and decided.
+        digest: (u64, u64),
     },
-    /// None of the items where the digests are alike.
+    /// None of the items where the digests are alike: accepted and decided ones.
     Promise {
         no: u64,
         ok: bool,
         whole: bool,
         ballot: Ballot,
-        items: Option<Vec<Item>>,
+        items: Option<(Vec<Item>, Vec<Item>)>,
     },
+    /// What is proposed, and what is decided of the items that it would take the place of.
     Accept {
         no: u64,
         ballot: Ballot,
         items: Vec<Item>,
+        decided: Vec<Item>,
     },
     Accepted {
         no: u64,
