--- a/crates/market/src/note.rs
+++ b/crates/market/src/note.rs
@@ -85,11 +85,12 @@
     /// Porters known of late, and those attached to the clerk (told by the clerk alone).
     pub porters: u32,
     pub attached: u32,
-    /// Porters in the region of the one it is told to.
+    /// Ready porters in the region of the one it is told to, and its place among them.
     pub near: u32,
-    /// Digest of the decided items, and of the list.
+    pub place: u32,
+    /// Digest of the decided items; term and reading of the list that this warden has.
     pub items: u64,
-    pub list: u64,
+    pub list: (u64, u64),
 }
 
 /// On a held connection, each way.
--- a/crates/porter/src/chart.rs
+++ b/crates/porter/src/chart.rs
@@ -8,8 +8,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Chart {
     /// Of each host, the longest prefix first.
-    routes: HashMap<String, Vec<Rc<Route>>>,
-    keys: HashMap<String, Rc<Tenant>>,
+    pub(crate) routes: HashMap<String, Vec<Rc<Route>>>,
+    pub(crate) keys: HashMap<String, Rc<Tenant>>,
     pub tenants: Vec<Rc<Tenant>>,
     pub services: HashMap<String, Service>,
     pub evacuated: BTreeSet<String>,
--- a/crates/porter/src/desk.rs
+++ b/crates/porter/src/desk.rs
@@ -66,6 +66,7 @@
     pub toll: mpsc::Sender<Counted>,
     pub connect_timeout: Duration,
     near: u32,
+    place: u32,
     plans: Vec<Plan>,
     all: HashMap<Key, Desk>,
 }
@@ -100,8 +101,8 @@
         toll: mpsc::Sender<Counted>,
         connect_timeout: Duration,
     ) -> Self {
-        let (near, plans, all) = (1, Vec::new(), HashMap::new());
-        Desks { stock, purse, fleet, clock, figures, toll, connect_timeout, near, plans, all }
+        let (near, place, plans, all) = (1, 0, Vec::new(), HashMap::new());
+        Desks { stock, purse, fleet, clock, figures, toll, connect_timeout, near, place, plans, all }
     }
 
     /// The module for a request on that route, and its operation there.
@@ -228,12 +229,14 @@
         limited.map(|p| (p.name.to_string(), p.rate, slot(p))).collect()
     }
 
-    /// So many proxies are near.
-    pub fn near(&mut self, near: u32) {
-        if near != self.near {
-            self.near = near;
+    /// So many proxies are near, and this one's place among them; whether that changed.
+    pub fn near(&mut self, near: u32, place: u32) -> bool {
+        let changed = (near, place) != (self.near, self.place);
+        if changed {
+            (self.near, self.place) = (near, place);
             self.settle();
         }
+        changed
     }
 
     pub fn settle(&mut self) {
--- a/crates/porter/src/main.rs
+++ b/crates/porter/src/main.rs
@@ -197,7 +197,7 @@
                     now.enter(Stage::Draining, &node);
                     let mut k = known.borrow_mut();
                     k.stand.ready = false;
-                    k.tell_all();
+                    k.tell(true);
                 }
                 _ = reload.recv() => damsonbeam_market::reloaded("porter"),
             }
@@ -231,7 +231,10 @@
                     counts.toll.share(beat.porters, beat.attached);
                     purse.borrow_mut().share(beat.porters);
                     stock.borrow_mut().thaw.share(beat.porters);
-                    desks.borrow_mut().near(beat.near);
+                    stock.borrow_mut().place = (beat.place, beat.near);
+                    if desks.borrow_mut().near(beat.near, beat.place) {
+                        desks.borrow().tell_all();
+                    }
                 }
                 let k = known.borrow();
                 if let Some((at, ms, term)) = k.time {
@@ -254,7 +257,7 @@
             log::info!("porter: {node} serves.");
             let mut k = known.borrow_mut();
             k.stand.ready = true;
-            k.tell_all();
+            k.tell(true);
         }
     }
 }
--- a/crates/porter/src/news.rs
+++ b/crates/porter/src/news.rs
@@ -18,6 +18,10 @@
 const REDIAL: Duration = Duration::from_millis(200);
 /// Between two words to each warden.
 const STAND: Duration = Duration::from_millis(400);
+/// Every so many of them goes to wardens of other regions too: the directory there may be that much behind.
+const FAR_STANDS: u32 = 2;
+/// A warden whose connection comes up within this is near: a fraction of the way between regions.
+const NEAR: Duration = Duration::from_millis(15);
 /// A warden whose items differ for so long is asked for all of them; they may be on their way.
 const DIFFERS: Duration = Duration::from_millis(700);
 const PULL: Duration = Duration::from_millis(2000);
@@ -45,6 +49,8 @@
     wardens: BTreeMap<Ip, Instant>,
     seeds: BTreeSet<Ip>,
     links: BTreeMap<Ip, Out>,
+    /// Wardens that are near: their connections came up quickly.
+    home: BTreeSet<Ip>,
     clerk: Option<(Ip, u64)>,
 }
 
@@ -60,6 +66,7 @@
             wardens: seeds.iter().map(|s| (*s, now)).collect(),
             seeds,
             links: BTreeMap::new(),
+            home: BTreeSet::new(),
             clerk: None,
         }
     }
@@ -69,12 +76,15 @@
         self.links.get(&self.clerk?.0)
     }
 
-    pub fn tell_all(&self) {
+    /// To all wardens, or to those of this region and the clerk alone.
+    pub fn tell(&self, all: bool) {
         let time_ms = self.time.map(|(at, ms, _)| ms + at.elapsed().as_millis() as u64);
         let note = Note::Stand { stand: self.stand.clone(), time_ms };
         let bytes = damsonbeam_market::note::pack(&note);
-        for out in self.links.values() {
-            out.bytes(bytes.clone());
+        for (ip, out) in &self.links {
+            if all || self.home.contains(ip) || self.clerk.is_some_and(|c| c.0 == *ip) {
+                out.bytes(bytes.clone());
+            }
         }
     }
 
@@ -105,14 +115,16 @@
 pub async fn run(settings: Rc<Settings>, known: Shared, to: mpsc::Sender<Word>) {
     let mut held: BTreeMap<Ip, tokio::task::JoinHandle<()>> = BTreeMap::new();
     let mut tick = interval(STAND);
+    let mut turn = 0u32;
     loop {
         tick.tick().await;
+        turn += 1;
         held.retain(|_, t| !t.is_finished());
         let wardens: Vec<Ip> = {
             let mut k = known.borrow_mut();
             let seeds = k.seeds.clone();
             k.wardens.retain(|w, at| seeds.contains(w) || at.elapsed() < NAMED);
-            k.tell_all();
+            k.tell(turn.is_multiple_of(FAR_STANDS));
             k.wardens.keys().copied().collect()
         };
         for w in wardens {
@@ -126,13 +138,20 @@
 
 async fn hold(warden: Ip, at: IpAddr, port: u16, known: Shared, to: mpsc::Sender<Word>) {
     while known.borrow().wardens.contains_key(&warden) {
+        let began = Instant::now();
         if let Ok(stream) = link::dial((at, port).into(), DIAL).await {
+            let near = began.elapsed() < NEAR;
             let (mut from, out) = link::split(stream);
             {
                 let mut k = known.borrow_mut();
                 let time_ms = k.time.map(|(at, ms, _)| ms + at.elapsed().as_millis() as u64);
                 out.send(&Note::Stand { stand: k.stand.clone(), time_ms });
                 k.links.insert(warden, out.clone());
+                if near {
+                    k.home.insert(warden);
+                } else {
+                    k.home.remove(&warden);
+                }
             }
             let mut here = Here { warden, out, differs: None, pulled: None };
             while let Ok(note) = from.next::<Note>(link::SILENT).await {
@@ -178,7 +197,7 @@
                 {
                     k.time = Some((now, beat.time_ms, term));
                 }
-                self.compare(beat.items != k.book.digest(), now);
+                self.compare(beat.items != k.book.digest(), beat.list > k.list, now);
                 if k.hear_clerk(beat.clerk) {
                     log::info!("news: the clerk is {:?}.", k.clerk.map(|c| addr(c.0)));
                 }
@@ -203,15 +222,20 @@
     }
 
     /// News come by themselves; what still differs after a while is asked for.
-    fn compare(&mut self, differs: bool, now: Instant) {
-        if !differs {
+    fn compare(&mut self, differs: bool, behind: bool, now: Instant) {
+        if !differs && !behind {
             self.differs = None;
             return;
         }
         let since = *self.differs.get_or_insert(now);
         if now - since >= DIFFERS && self.pulled.is_none_or(|p| now - p >= PULL) {
             self.pulled = Some(now);
-            self.out.send(&Note::Pull);
+            if differs {
+                self.out.send(&Note::Pull);
+            }
+            if behind {
+                self.out.send(&Note::PullList);
+            }
         }
     }
 }
--- a/crates/porter/src/stock.rs
+++ b/crates/porter/src/stock.rs
@@ -1,6 +1,6 @@
 //! The platform's list as the decision module takes it: what each backend is to this proxy.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,16 +11,22 @@
 use crate::chart::{Chart, Homes};
 use crate::thaw::Thaw;
 
-/// How much a backend counts by where it is, beside one in this zone: the way between regions takes longer than
-/// most work, and is paid for; other zones of the region cost a little.
-const NEAR: f64 = 0.8;
+/// How much a backend counts by where it is: the way between regions takes longer than most work and is paid for;
+/// another zone costs a little; of many in the region this proxy keeps to its part, so that its connections are used.
+const ZONE: f64 = 10.0;
+const NEAR: f64 = 8.0;
+const REST: f64 = 1.0;
 const FAR: f64 = 0.1;
+/// A proxy's part of its region's backends has so many times the slots that are its by number, and at least so many
+/// backends: enough for its surges and for the loss of some.
+const ROOM: f64 = 1.5;
+const FEW: usize = 8;
 /// Places of a backend at all gateways that the module reckons with at least, and how many a slot is to have:
 /// some wait in its queue, so that no slot stands idle for the way there and back.
 const PLACES: f64 = 5.0;
 const A_SLOT: f64 = 1.5;
 /// A zone that was evacuated may have turned cold just before it was taken back: the list tells so this late.
-const UNTOLD: Duration = Duration::from_millis(1500);
+const UNTOLD: Duration = Duration::from_millis(2200);
 
 #[derive(Debug, Default)]
 pub struct Stock {
@@ -32,6 +38,8 @@
     next: u32,
     pub thaw: Thaw,
     evacuated: Vec<String>,
+    /// This proxy's place among the ready ones of its region, and their number.
+    pub place: (u32, u32),
 }
 
 /// A backend and what the module is told of it.
@@ -89,16 +97,31 @@
         let may = |s: &&Server| {
             s.service == service && homes.as_ref().is_none_or(|h| h.contains(self.region_of(&s.zone)))
         };
-        self.servers.iter().filter(may).map(|s| self.line(s, now)).collect()
+        let part = self.part(service);
+        self.servers.iter().filter(may).map(|s| self.line(s, &part, now)).collect()
     }
 
-    fn line(&self, s: &Server, now: Duration) -> Line {
+    /// This proxy's part of a service's backends in its region: in a row by hash, so that zones and speeds mix, each
+    /// proxy takes its places from where the one before it ended. All are covered as evenly as can be.
+    fn part(&self, service: &str) -> HashSet<&str> {
+        let home =
+            self.servers.iter().filter(|s| s.service == service && self.region_of(&s.zone) == self.region);
+        let mut row: Vec<(u64, &Server)> = home.map(|s| (hash(&s.id), s)).collect();
+        row.sort_unstable_by_key(|r| r.0);
+        let slots: f64 = row.iter().map(|r| f64::from(r.1.slots)).sum();
+        let (place, near) = (self.place.0 as usize, self.place.1.max(1));
+        let take = ((ROOM * slots / f64::from(near)).ceil() as usize).max(FEW).min(row.len());
+        (0..take).map(|n| &*row[(place * take + n) % row.len()].1.id).collect()
+    }
+
+    fn line(&self, s: &Server, part: &HashSet<&str>, now: Duration) -> Line {
         let tgt = self.ids[&s.id];
         let shut = s.draining || self.evacuated.contains(&s.zone) || !self.thaw.open(tgt, now);
         let weight = match () {
-            () if s.zone == self.zone => 1.0,
-            () if self.region_of(&s.zone) == self.region => NEAR,
-            () => FAR,
+            () if self.region_of(&s.zone) != self.region => FAR,
+            () if !part.contains(&*s.id) => REST,
+            () if s.zone == self.zone => ZONE,
+            () => NEAR,
         };
         let zone = self.zones.keys().position(|z| *z == s.zone).unwrap_or(self.zones.len()) as u32;
         let health = if shut { Health::Draining } else { Health::Up };
@@ -118,10 +141,78 @@
     /// An entry as the module holds it once a turn at a cold backend is used up.
     pub fn closed(&self, tgt: TgtId, now: Duration) -> Option<Entry> {
         let s = self.servers.iter().find(|s| self.ids.get(&s.id) == Some(&tgt))?;
-        Some(Entry { health: Health::Draining, ..self.line(s, now).entry })
+        Some(Entry { health: Health::Draining, ..self.line(s, &self.part(&s.service), now).entry })
     }
 
     pub fn is_empty(&self) -> bool {
         self.servers.is_empty()
     }
 }
+
+/// Spreads ids out, the same at every proxy.
+fn hash(id: &str) -> u64 {
+    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+    id.bytes().for_each(|b| hash = (hash ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
+    hash ^ hash >> 29
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn server(n: u32, zone: &str) -> Server {
+        let at = ([10, 128, 0, n as u8], 80);
+        let (id, service) = (format!("i-{n}"), "s".to_string());
+        Server { id, service, at, zone: zone.into(), slots: 6, draining: false, cold_ms: 0 }
+    }
+
+    fn stock(place: u32, near: u32, servers: u32) -> Stock {
+        let zones = [("a", "x"), ("b", "x"), ("c", "y")].map(|(z, r)| (z.to_string(), r.to_string()));
+        let mut s = Stock::new("a", "x", zones.into());
+        s.place = (place, near);
+        let all = (0..servers).map(|n| server(n, ["a", "b", "c"][n as usize % 3])).collect();
+        s.take(all, &Chart::default(), Duration::ZERO, &mut || 0.5);
+        s
+    }
+
+    #[test]
+    fn proxies_take_even_parts_of_many_backends_and_all_of_few() {
+        let mut taken: HashMap<String, usize> = HashMap::new();
+        for place in 0..23 {
+            let s = stock(place, 23, 96);
+            s.part("s").into_iter().for_each(|id| *taken.entry(id.into()).or_default() += 1);
+        }
+        let (least, most) = (taken.values().min().expect("some"), taken.values().max().expect("some"));
+        assert_eq!(taken.len(), 64, "a backend of the region is nobody's");
+        assert!(most - least <= 1, "{least} to {most} proxies a backend");
+        assert_eq!(stock(1, 4, 18).part("s").len(), 12);
+    }
+
+    #[test]
+    fn drained_evacuated_and_cold_backends_are_no_choice_and_homes_hold() {
+        let mut s = stock(0, 1, 3);
+        let up = |s: &Stock, homes: &Homes, ms| {
+            let lines = s.lines("s", homes, Duration::from_millis(ms));
+            lines
+                .iter()
+                .filter(|l| l.entry.health == Health::Up)
+                .map(|l| l.name.to_string())
+                .collect::<Vec<_>>()
+        };
+        assert_eq!(up(&s, &None, 0), ["i-0", "i-1", "i-2"]);
+        assert_eq!(up(&s, &Some(["y".to_string()].into()), 0), ["i-2"]);
+        let chart = Chart { evacuated: ["b".to_string()].into(), ..Chart::default() };
+        s.evacuate(&chart, Duration::ZERO, &mut || 0.5);
+        assert_eq!(up(&s, &None, 0), ["i-0", "i-2"]);
+        // Taken back, it may be cold, and nobody has told yet: a turn comes by lot.
+        s.evacuate(&Chart::default(), Duration::from_millis(100), &mut || 0.5);
+        assert_eq!(up(&s, &None, 100), ["i-0", "i-2"]);
+        assert_eq!(up(&s, &None, 3000), ["i-0", "i-1", "i-2"]);
+        // The same address, another life: another backend.
+        let mut next = vec![server(0, "a"), server(1, "b")];
+        next[0].id = "i-9".into();
+        next[1].draining = true;
+        s.take(next, &Chart::default(), Duration::from_millis(4000), &mut || 0.5);
+        assert_eq!(up(&s, &None, 4000), ["i-9"]);
+    }
+}
--- a/crates/warden/src/main.rs
+++ b/crates/warden/src/main.rs
@@ -1,7 +1,7 @@
 //! `damsonbeam-warden`: one warden. It carries between sockets and the state machines, and takes the outside calls.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -35,6 +35,8 @@
 const TICK: Duration = Duration::from_millis(50);
 /// A beat to each porter: three in the time after which it would look for another clerk.
 const BEAT: Duration = Duration::from_millis(400);
+/// Of so many, a porter of another region gets one where this warden is not the clerk: bytes between regions are paid for.
+const FAR_BEATS: u32 = 3;
 /// A porter that said nothing for so long is not attached any more, and not named to clients.
 const SILENT: Duration = Duration::from_millis(1300);
 /// Porters not seen for so long may be serving out of touch: their part of each quota stays theirs.
@@ -45,8 +47,9 @@
 const COFFER_SILENT: Duration = Duration::from_secs(3600);
 /// An outside call is answered within this: its caller looks elsewhere after a second of silence.
 const ANSWER: Duration = Duration::from_millis(4000);
-/// Between two readings of the platform's list: its own lag is most of what a drain's bound leaves.
-const POLL: Duration = Duration::from_millis(500);
+/// Between two readings of the platform's list, as a part of the time in which a drain must be kept: the rest is for
+/// a clerk's loss.
+const POLL_PART: f64 = 0.2;
 /// A call to the platform is given up after this.
 const CLOUD: Duration = Duration::from_millis(900);
 /// Without a word of the common time by then, this machine's own clock begins it.
@@ -81,6 +84,7 @@
     /// Porters by node, and when each was seen last.
     seen: BTreeMap<String, Duration>,
     beat: Duration,
+    beats: u32,
     book: Book,
     shelf: Shelf,
     /// This process has read the list in its present reign.
@@ -177,17 +181,23 @@
         self.porters.values().filter(move |p| now < p.last + SILENT)
     }
 
+    /// Whether a porter is this one's to tell news: those of its region, and all where it is the clerk. The others
+    /// hear from their own region's wardens, see by the beats what they lack, and ask for it.
+    fn tells(&self, stand: &Stand) -> bool {
+        self.reign.is_some() || self.region(&stand.zone) == self.settings.region
+    }
+
     fn beat(&mut self) {
         let now = self.now();
         let (porters, clerk) = (self.known_porters(), self.claims.holder(now, self.size));
-        let nodes: std::collections::BTreeSet<&str> = self.attached().map(|p| &*p.stand.node).collect();
+        let nodes: BTreeSet<&str> = self.attached().map(|p| &*p.stand.node).collect();
         let attached = nodes.len() as u32;
         let mut wardens = self.members.alive();
         wardens.retain(|w| *w != self.me);
         wardens.insert(0, self.me);
-        let list = if self.reign.is_some() && self.listed { 1 } else { 0 };
-        let regions: Vec<String> =
-            self.attached().filter(|p| p.stand.ready).map(|p| self.region(&p.stand.zone)).collect();
+        let ready = self.attached().filter(|p| p.stand.ready);
+        let ready: BTreeSet<(String, String)> =
+            ready.map(|p| (self.region(&p.stand.zone), p.stand.node.clone())).collect();
         let beat = Beat {
             time_ms: self.time_ms().unwrap_or(0),
             wardens,
@@ -195,13 +205,20 @@
             porters,
             attached,
             near: 0,
+            place: 0,
             items: self.book.digest(),
-            list,
+            list: (self.shelf.term, self.shelf.reading),
         };
+        self.beats += 1;
         for p in self.porters.values() {
+            if !self.tells(&p.stand) && !self.beats.is_multiple_of(FAR_BEATS) {
+                continue;
+            }
             let region = self.region(&p.stand.zone);
-            let near = regions.iter().filter(|r| **r == region).count() as u32;
-            p.out.send(&Note::Beat(Beat { near, ..beat.clone() }));
+            let home = ready.iter().filter(|r| r.0 == region);
+            let (near, place) =
+                (home.clone().count() as u32, home.take_while(|r| r.1 < p.stand.node).count() as u32);
+            p.out.send(&Note::Beat(Beat { near, place, ..beat.clone() }));
         }
     }
 
@@ -213,7 +230,9 @@
         if !whole {
             log::info!("news: {} items decided, to {} porters.", new.len(), self.porters.len());
         }
-        for p in self.porters.values_mut() {
+        let tells: Vec<u64> = self.porters.iter().filter(|p| self.tells(&p.1.stand)).map(|p| *p.0).collect();
+        for link in tells {
+            let Some(p) = self.porters.get_mut(&link) else { continue };
             p.no += 1;
             p.out.send(&Note::News { no: p.no, items: new.clone() });
         }
@@ -261,8 +280,11 @@
                 });
                 (p.stand, p.last) = (stand, now);
                 if fresh {
-                    self.all_items(link);
-                    self.list_to(Some(link));
+                    if self.porters.get(&link).is_some_and(|p| self.tells(&p.stand)) {
+                        self.all_items(link);
+                        self.list_to(Some(link));
+                    }
+                    self.beats = FAR_BEATS - 1;
                     self.beat();
                 }
             }
@@ -364,8 +386,6 @@
                         w.claims.learn(shelf.term);
                         if shelf.is_above(&w.shelf) && w.reign.is_none() {
                             w.shelf = shelf;
-                            // Whoever has a later one, from the clerk itself, passes over it.
-                            w.list_to(None);
                         }
                     }
                     Note::Reply { no, reply } => {
@@ -431,6 +451,7 @@
     let Some((at, rate)) = warden.borrow().settings.cloud else { return };
     // Half of the rate: two holders in a row, each with its own calls in one second, stay within it.
     let apart = Duration::from_secs_f64(2.0 / rate);
+    let every = warden.borrow().settings.bound_ms("drain_ms", 2500).mul_f64(POLL_PART);
     loop {
         let Some((term, _)) = warden.borrow().reign else {
             sleep(TICK).await;
@@ -475,7 +496,7 @@
                 }
             }
         }
-        sleep(POLL.saturating_sub(began.elapsed()).max(apart)).await;
+        sleep(every.saturating_sub(began.elapsed()).max(apart)).await;
     }
 }
 
@@ -587,6 +608,7 @@
         porters: BTreeMap::new(),
         seen: BTreeMap::new(),
         beat: Duration::ZERO,
+        beats: 0,
         book: Book::default(),
         shelf: Shelf::default(),
         listed: false,
