--- /dev/null
+++ b/crates/beadle/src/lib.rs
@@ -0,0 +1,141 @@
+//! What staff do besides running the three programs: check files before anything starts, ask a live system how it
+//! stands, read a coffer's store, and join the logs of all machines into the account of one thing.
+
+pub mod explain;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use damsonbeam_coffer::store::Store;
+use damsonbeam_market::items::{Book, Change, Item, Kind};
+use damsonbeam_market::settings::Settings;
+
+/// A warden answers within this, or it is held for gone.
+const ANSWER: Duration = Duration::from_secs(5);
+
+#[derive(Debug, thiserror::Error, PartialEq)]
+pub enum Fault {
+    #[error("{0}: {1}")]
+    File(String, String),
+    #[error("{0}")]
+    Asked(String),
+}
+
+fn file(path: &Path, why: impl std::fmt::Display) -> Fault {
+    Fault::File(path.display().to_string(), why.to_string())
+}
+
+/// A settings file, checked as a program would at its start; what is in it, in a line.
+///
+/// # Errors
+/// The first field that is missing or wrong.
+pub fn check_settings(path: &Path) -> Result<String, Fault> {
+    let text = std::fs::read(path).map_err(|e| file(path, e))?;
+    // The error names the file itself.
+    let s = Settings::check(&path.display().to_string(), text).map_err(|e| Fault::Asked(e.to_string()))?;
+    Ok(format!("{}: {} in {}, {} seeds", path.display(), s.node, s.zone, s.seeds.len()))
+}
+
+/// Operators' calls in the order in which they are to be sent, each checked on the whole as the store would.
+///
+/// # Errors
+/// The first call that is no valid one, and why.
+pub fn check_calls(paths: &[PathBuf]) -> Result<String, Fault> {
+    let mut book = Book::default();
+    for path in paths {
+        let text = std::fs::read(path).map_err(|e| file(path, e))?;
+        let change = Change::read(text).map_err(|e| file(path, e))?;
+        let mut next = book.clone();
+        for item in book.news(&change) {
+            next.merge(item);
+        }
+        next.check().map_err(|e| file(path, e))?;
+        book = next;
+    }
+    let count = |kind| book.standing(kind).count();
+    let (routes, tenants, services) = (count(Kind::Route), count(Kind::Tenant), count(Kind::Service));
+    Ok(format!("valid: {routes} routes, {tenants} tenants, {services} services"))
+}
+
+fn line(item: &Item, decided: bool) -> String {
+    let state = if item.body.is_some() { "" } else { ", dropped" };
+    let known = if decided { "" } else { ", not known to be decided" };
+    let Item { key, version, ballot, .. } = item;
+    format!("{:?} {} r{version}, ballot {}.{}{state}{known}", key.kind, key.name, ballot.round, ballot.writer)
+}
+
+/// A coffer's store, item by item.
+///
+/// # Errors
+/// Where there is none, or a record can't be read.
+pub fn show_store(dir: &Path) -> Result<String, Fault> {
+    let (kept, roster, shelf) = open(dir)?;
+    let whole = if kept.whole { "whole" } else { "to be mended" };
+    let mut out = vec![format!("{whole}, promised ballot {}.{}", kept.promised.round, kept.promised.writer)];
+    out.push(format!("{} coffers known, {} at most", roster.0.len(), roster.1));
+    out.push(format!(
+        "list of term {}, reading {}: {} backends",
+        shelf.term,
+        shelf.reading,
+        shelf.servers.len()
+    ));
+    let decided = |i: &Item| kept.decided.items.get(&i.key) == Some(i);
+    out.extend(kept.accepted.items.values().map(|i| line(i, decided(i))));
+    Ok(out.join("\n"))
+}
+
+/// Whether a store is whole and what it holds is a valid configuration.
+///
+/// # Errors
+/// What is wrong with it.
+pub fn verify_store(dir: &Path) -> Result<String, Fault> {
+    let (kept, ..) = open(dir)?;
+    kept.decided.check().map_err(|e| file(dir, e))?;
+    if !kept.whole {
+        return Err(file(dir, "to be mended: it came back empty and has not heard from enough others"));
+    }
+    let left = kept.accepted.items.values().filter(|i| kept.decided.items.get(&i.key) != Some(i)).count();
+    Ok(format!("sound: {} items, {left} not known to be decided", kept.decided.items.len()))
+}
+
+/// The configuration that a store holds, as an operator would send it.
+///
+/// # Errors
+/// Where it can't be read.
+pub fn export_store(dir: &Path) -> Result<String, Fault> {
+    let (kept, ..) = open(dir)?;
+    let body = String::from_utf8(kept.decided.show()).map_err(|e| file(dir, e))?;
+    Ok(format!("{{\"upserts\":{body}}}"))
+}
+
+type Kept =
+    (damsonbeam_coffer::agree::Kept, damsonbeam_coffer::store::Roster, damsonbeam_market::note::Shelf);
+
+fn open(dir: &Path) -> Result<Kept, Fault> {
+    if !dir.join("items.redb").exists() {
+        return Err(file(dir, "no store here (items.redb)"));
+    }
+    Store::open(dir).and_then(|s| s.read()).map_err(|e| file(dir, e))
+}
+
+/// How a live system stands, as one warden sees it.
+///
+/// # Errors
+/// Where it does not answer.
+pub fn state(at: SocketAddr) -> Result<String, Fault> {
+    let asked = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect_timeout(&at, ANSWER)?;
+        stream.set_read_timeout(Some(ANSWER))?;
+        write!(stream, "GET /-/state HTTP/1.1\r\nHost: {at}\r\nConnection: close\r\n\r\n")?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text)?;
+        Ok(text)
+    };
+    let text = asked().map_err(|e| Fault::Asked(format!("{at}: {e}")))?;
+    match text.split_once("\r\n\r\n") {
+        Some((head, body)) if head.starts_with("HTTP/1.1 200") => Ok(body.trim_end().to_string()),
+        _ => Err(Fault::Asked(format!("{at}: {}", text.lines().next().unwrap_or("no answer")))),
+    }
+}
--- /dev/null
+++ b/crates/beadle/src/main.rs
@@ -0,0 +1,82 @@
+//! `damsonbeam-beadle`: the operators' tool. Exit codes: 0 done, 1 faulty input or no answer, 2 usage.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use damsonbeam_beadle::{
+    Fault, check_calls, check_settings, explain, export_store, show_store, state, verify_store,
+};
+
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+/// Checks files of the system, asks a live one, reads stores and logs.
+enum Work {
+    /// Checks a settings file as a program would at its start
+    #[bpaf(command("check-settings"))]
+    Settings(#[bpaf(positional("FILE"))] PathBuf),
+    /// Checks operators' calls, in the order in which they are to be sent, as the store would
+    #[bpaf(command("check-calls"))]
+    Calls(#[bpaf(positional("FILE"), some("name a file at least"))] Vec<PathBuf>),
+    /// How a live system stands, as the warden at that control address sees it
+    #[bpaf(command("state"))]
+    State(#[bpaf(positional("ADDRESS"))] SocketAddr),
+    /// A coffer's store: its items, their versions and ballots. Only while no coffer runs on it.
+    #[bpaf(command("store-show"))]
+    Show(#[bpaf(positional("FOLDER"))] PathBuf),
+    /// Whether a coffer's store is sound
+    #[bpaf(command("store-verify"))]
+    Verify(#[bpaf(positional("FOLDER"))] PathBuf),
+    /// The configuration that a coffer's store holds, as a call that sets it
+    #[bpaf(command("store-export"))]
+    Export(#[bpaf(positional("FOLDER"))] PathBuf),
+    /// What happened to a request, item, machine or backend: all logs' lines that name it, in order of time
+    #[bpaf(command("explain"))]
+    Explain {
+        /// The folder of logs, a file for each process
+        #[bpaf(argument("FOLDER"))]
+        logs: PathBuf,
+        #[bpaf(positional("WHAT"))]
+        what: String,
+    },
+}
+
+fn done(what: Work) -> Result<String, Fault> {
+    match what {
+        Work::Settings(path) => check_settings(&path),
+        Work::Calls(paths) => check_calls(&paths),
+        Work::State(at) => state(at),
+        Work::Show(dir) => show_store(&dir),
+        Work::Verify(dir) => verify_store(&dir),
+        Work::Export(dir) => export_store(&dir),
+        Work::Explain { what, logs } => {
+            let lines = explain::explain(&what, &logs)?;
+            if lines.is_empty() {
+                return Err(Fault::Asked(format!("{}: no line names `{what}`", logs.display())));
+            }
+            let lines = lines.iter().map(|l| format!("{}  {}  {}", l.time, l.machine, l.text));
+            Ok(lines.collect::<Vec<_>>().join("\n"))
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let what = match work().run_inner(bpaf::Args::current_args()) {
+        Ok(what) => what,
+        Err(failure) => {
+            failure.print_message(100);
+            return ExitCode::from(if failure.exit_code() == 0 { 0 } else { 2 });
+        }
+    };
+    match done(what) {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("damsonbeam-beadle: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/coffer/src/main.rs
+++ b/crates/coffer/src/main.rs
@@ -10,6 +10,7 @@
 
 use damsonbeam_coffer::agree::{Act, Agree, Keep};
 use damsonbeam_coffer::store::{Roster, Store};
+use damsonbeam_market::items::Item;
 use damsonbeam_market::link::{self, In, Out};
 use damsonbeam_market::note::{Ip, Note, Shelf, addr, ip};
 use damsonbeam_market::settings::{Port, Settings};
@@ -18,6 +19,8 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
 const TICK: Duration = Duration::from_millis(20);
+/// Items named in a line of the log.
+const NAMED: usize = 8;
 const DIAL: Duration = Duration::from_millis(800);
 const REDIAL: Duration = Duration::from_millis(200);
 /// Nothing need be said on a link between coffers for long: the sweep comes by each peer in this time.
@@ -100,7 +103,7 @@
                     }
                 }
                 Act::News(items) => {
-                    log::info!("coffer: {} items decided.", items.len());
+                    log::info!("coffer: decided {}.", told(&items));
                     if let Some((_, out)) = self.warden.and_then(|w| self.came.get(&w)) {
                         out.send(&Note::Decided { items, whole: false });
                     }
@@ -179,6 +182,14 @@
     (link >= DIALLED).then(|| ((link - DIALLED) as u32).to_be_bytes())
 }
 
+/// Items by name and version, a few of many.
+fn told(items: &[Item]) -> String {
+    let names: Vec<String> =
+        items.iter().take(NAMED).map(|i| format!("{} r{}", i.key.name, i.version)).collect();
+    let more = if items.len() > NAMED { format!(" and {} more", items.len() - NAMED) } else { String::new() };
+    names.join(", ") + &more
+}
+
 async fn read(mut from: In, link: u64, to: mpsc::Sender<Mail>) {
     while let Ok(note) = from.next::<Note>(QUIET).await {
         if to.send(Mail::Heard { link, note }).await.is_err() {
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -212,7 +212,8 @@
     /// # Errors
     /// The answer.
     fn decode(&self, inv: InvId, head: &Parts) -> Result<Decoded, Turned>;
-    fn encode(&self, answer: Answer) -> Reply200;
+    /// The answer to the request of that name.
+    fn encode(&self, name: &str, answer: Answer) -> Reply200;
 }
 
 /// A request that can be used: what the module is told, its name, how long its client waits from its last byte
@@ -578,7 +579,7 @@
             conn.unread.set(true);
             tokio::task::spawn_local(async move { coming.drain().await });
         }
-        Ok(self.front.encode(answer))
+        Ok(self.front.encode(&held.name, answer))
     }
 
     /// A request's body: whole where it is small, else its start and what still comes.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -149,7 +149,7 @@
         })
     }
 
-    fn encode(&self, answer: Answer) -> Reply200 {
+    fn encode(&self, _: &str, answer: Answer) -> Reply200 {
         match answer {
             Answer::Succeeded(reply) => {
                 let mut answer = Response::new(reply.body);
--- a/crates/porter/src/speech.rs
+++ b/crates/porter/src/speech.rs
@@ -102,7 +102,15 @@
         Ok(Decoded { told, name: name.to_owned(), left, headers: out, to })
     }
 
-    fn encode(&self, answer: Answer) -> Reply200 {
+    fn encode(&self, name: &str, answer: Answer) -> Reply200 {
+        match &answer {
+            Answer::Throttled { why, clean, .. } => {
+                let ran = if *clean { "it has not run" } else { "it may have run" };
+                log::debug!("request: {name} is turned away ({}), {ran}.", why.name());
+            }
+            Answer::Errored => log::debug!("request: {name} failed."),
+            Answer::Succeeded(_) => {}
+        }
         let mut out = match answer {
             Answer::Succeeded(reply) => {
                 let mut answer = Response::new(reply.body);
--- a/crates/warden/src/calls.rs
+++ b/crates/warden/src/calls.rs
@@ -5,10 +5,18 @@
 /// What a caller wants.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Call {
-    Lookup { region: String, zone: String },
+    Lookup {
+        region: String,
+        zone: String,
+    },
     Change,
     Read,
-    Evacuate { zone: String, on: bool },
+    Evacuate {
+        zone: String,
+        on: bool,
+    },
+    /// How the system stands, for staff.
+    State,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -40,6 +48,7 @@
                     Call::Lookup { region: get("region"), zone: get("zone") }
                 })],
             ),
+            Part("state", vec![Leaf("GET", |_, _| Call::State)]),
             Part("configuration", vec![Leaf("PATCH", |_, _| Call::Change), Leaf("GET", |_, _| Call::Read)]),
             Part(
                 "evacuations",
--- a/crates/warden/src/main.rs
+++ b/crates/warden/src/main.rs
@@ -326,6 +326,38 @@
         Some(reply)
     }
 
+    /// How the system stands as seen from here, for `damsonbeam-beadle state`.
+    fn state(&self) -> String {
+        let now = self.now();
+        let ips =
+            |all: &[Ip]| all.iter().map(|ip| format!("\"{}\"", addr(*ip))).collect::<Vec<_>>().join(",");
+        let clerk = self.claims.holder(now, self.size);
+        let clerk =
+            clerk.map_or("null".into(), |(ip, term)| format!("{{\"ip\":\"{}\",\"term\":{term}}}", addr(ip)));
+        let porters = self.porters.values().map(|p| {
+            let (node, ready, lag) = (&p.stand.node, p.stand.ready, p.no - p.acked);
+            let silent = (now - p.last).as_millis();
+            format!("\n  {{\"node\":\"{node}\",\"ready\":{ready},\"silent_ms\":{silent},\"news_not_acknowledged\":{lag}}}")
+        });
+        let porters: Vec<String> = porters.collect();
+        format!(
+            "{{\"warden\":\"{}\",\"up_ms\":{},\n\"wardens\":[{}],\"most_wardens\":{},\n\"clerk\":{clerk},\n\
+             \"coffer_reached\":{},\"items\":{},\"digest\":\"{:016x}\",\n\
+             \"list\":{{\"term\":{},\"reading\":{},\"backends\":{}}},\n\"porters\":[{}]}}\n",
+            self.settings.node,
+            now.as_millis(),
+            ips(&self.members.alive()),
+            self.size,
+            self.coffer.is_some(),
+            self.book.items.len(),
+            self.book.digest(),
+            self.shelf.term,
+            self.shelf.reading,
+            self.shelf.servers.len(),
+            porters.join(",")
+        )
+    }
+
     fn posts(&self) -> Vec<Post> {
         let mut by_node: BTreeMap<&str, Post> = BTreeMap::new();
         for p in self.attached() {
@@ -554,6 +586,7 @@
                 answer(StatusCode::OK, format!("{{\"addresses\":[{}],\"ttl_s\":{ttl}}}", all.join(",")))
             }
         }
+        Ok(Call::State) => answer(StatusCode::OK, warden.borrow().state()),
         Ok(Call::Read) => order(&warden, Order::Read).await,
         Ok(Call::Evacuate { zone, .. }) if !warden.borrow().settings.zones.contains_key(&zone) => {
             error(StatusCode::NOT_FOUND, "no such zone")
