--- a/crates/market/src/claim.rs
+++ b/crates/market/src/claim.rs
@@ -21,6 +21,9 @@
 /// Each place in the order of candidates waits so much longer: two at once would split the votes.
 const APART: Duration = Duration::from_millis(200);
 
+/// One whose claims came to nothing stands back for so long: the votes it has must end, and another claim.
+const BACK: Duration = Duration::from_millis(2500);
+
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum Vote {
     /// `sent`: the claimer's own time, which comes back with the grant.
@@ -116,8 +119,9 @@
             return None;
         }
         if self.mine.is_some() && self.until(size).is_some_and(|u| now >= u) {
-            // Lost it: whoever is first in line may have it, this one among them.
-            (self.mine, self.idle) = (None, now);
+            // Lost it, though it claims all the time: it may be heard and hear nothing, and its claims would bind all
+            // voters for good. It stands back until another has had the time to claim.
+            (self.mine, self.voted, self.idle) = (None, None, now + BACK);
             self.grants.clear();
         }
         if self.mine.is_none() {
@@ -148,7 +152,8 @@
         // A claim that gets no majority for long is given up, so that another's may.
         let stale = self.until(size).is_none() && self.idle + LEASE * 2 < now;
         if stale {
-            (self.mine, self.voted, self.idle) = (None, None, now + APART);
+            (self.mine, self.voted, self.idle) = (None, None, now + BACK);
+            self.grants.clear();
             return None;
         }
         Some(Vote::Claim { term, sent_us: now.as_micros() as u64 })
@@ -268,6 +273,39 @@
         assert_eq!(who(15_500), None);
     }
 
+    #[test]
+    fn one_that_can_speak_and_not_hear_takes_the_duty_from_nobody_for_good() {
+        let mut all: Vec<Claims> = ips(5).iter().map(|ip| Claims::new(*ip, at(0))).collect();
+        let ips = ips(5);
+        let mut mail: Vec<(u64, usize, usize, Vote)> = Vec::new();
+        let (mut held, mut last) = (0, 0);
+        for t in (0..20_000).step_by(10) {
+            for n in 0..5 {
+                if let Some(vote) = all[n].tick(at(t), &ips, 5) {
+                    (0..5).filter(|m| *m != n).for_each(|m| mail.push((t + 20, n, m, vote.clone())));
+                }
+            }
+            let (due, rest): (Vec<_>, Vec<_>) = mail.drain(..).partition(|m| m.0 <= t);
+            mail = rest;
+            for (_, from, to, vote) in due {
+                // The first, which would be the clerk, hears nothing from 5 s on; what it says is heard.
+                let deaf = to == 0 && t > 5000;
+                if !deaf && let Some(back) = all[to].heard(ips[from], &vote, at(t)) {
+                    mail.push((t + 20, to, from, back));
+                }
+            }
+            let holders = (0..5).filter(|n| all[*n].holds(at(t), 5).is_some()).count();
+            assert!(holders <= 1, "two holders at {t}");
+            if holders == 1 && t > 8000 {
+                (held, last) = (held + 1, t);
+            }
+        }
+        assert!(
+            held > 600 && last > 19_000,
+            "somebody has the duty most of the time: {held} of 1200, last at {last}"
+        );
+    }
+
     #[test]
     fn a_holder_that_leaves_is_followed_at_once() {
         let mut all: Vec<Claims> = ips(3).iter().map(|ip| Claims::new(*ip, at(0))).collect();
--- a/crates/porter/src/main.rs
+++ b/crates/porter/src/main.rs
@@ -228,9 +228,9 @@
             }
             Some(Word::Beat(beat)) => {
                 if beat.porters > 0 {
-                    counts.toll.share(beat.porters, beat.attached);
-                    purse.borrow_mut().share(beat.porters);
-                    stock.borrow_mut().thaw.share(beat.porters);
+                    let porters = counts.toll.share(beat.porters, beat.attached, clock.now());
+                    purse.borrow_mut().share(porters);
+                    stock.borrow_mut().thaw.share(porters);
                     stock.borrow_mut().place = (beat.place, beat.near);
                     if desks.borrow_mut().near(beat.near, beat.place) {
                         desks.borrow().tell_all();
--- a/crates/porter/src/toll.rs
+++ b/crates/porter/src/toll.rs
@@ -28,6 +28,8 @@
 const STAYS: Duration = Duration::from_millis(2000);
 /// Units let in here since the others were heard of from which it is taken that each of them does the same.
 const SPARE: f64 = 1.0;
+/// The most proxies told count for so long.
+const MOST: Duration = Duration::from_secs(20);
 /// Tenants that are not near their quotas are told of so often.
 const CALM: Duration = Duration::from_millis(150);
 /// Names are kept longer than any window.
@@ -94,6 +96,8 @@
 pub struct Toll {
     porters: f64,
     attached: f64,
+    /// The most proxies told of late, and when.
+    most: (u32, Duration),
     linked: bool,
     /// What was said and is not answered, since when.
     unanswered: Option<Duration>,
@@ -113,10 +117,16 @@
 }
 
 impl Toll {
-    /// What the clerk says of the proxies.
-    pub fn share(&mut self, porters: u32, attached: u32) {
+    /// What the clerk says of the proxies. A clerk that has just begun has not met all: the most told of late counts.
+    /// Tells how many are reckoned with.
+    pub fn share(&mut self, porters: u32, attached: u32, now: Duration) -> u32 {
+        if porters >= self.most.0 || now >= self.most.1 + MOST {
+            self.most = (porters, now);
+        }
+        let porters = self.most.0;
         self.porters = f64::from(porters.max(1));
         self.attached = f64::from(attached.clamp(1, porters.max(1)));
+        porters
     }
 
     /// There is a way to a clerk, or none. A new one must hear all that counts.
@@ -259,7 +269,9 @@
     #[test]
     fn without_a_clerk_each_proxy_keeps_to_its_part() {
         let mut t = Toll::default();
-        t.share(10, 10);
+        t.share(10, 10, at(0));
+        // A new clerk has met few of them yet.
+        assert_eq!(t.share(2, 2, at(0)), 10);
         assert_eq!(t.count("1/x", 1.0, at(0)), 10.0);
         assert_eq!(t.count("1/x", 1.0, at(1)), 20.0);
         // One that was refused and undone is not held against it.
@@ -269,7 +281,7 @@
     #[test]
     fn a_clerk_that_falls_silent_is_not_believed_for_long() {
         let mut t = Toll::default();
-        t.share(4, 4);
+        t.share(4, 4, at(0));
         t.link(true, true);
         t.limit("x", 100.0, 0.5);
         t.count("1/x", 1.0, at(0));
@@ -292,7 +304,7 @@
     #[test]
     fn absent_proxies_keep_their_parts_and_slots_go_by_the_common_time() {
         let mut t = Toll::default();
-        t.share(10, 8);
+        t.share(10, 8, at(0));
         t.link(true, true);
         t.limit("x", 100.0, 0.5);
         t.clock(5.1);
@@ -312,7 +324,7 @@
     impl Proxy {
         fn new(porters: u32, rate: f64, seed: u64) -> Self {
             let mut toll = Toll::default();
-            toll.share(porters, porters);
+            toll.share(porters, porters, at(0));
             toll.link(true, true);
             toll.limit("x", rate, 0.5);
             let plan = Plan { rate, burst: rate, price: 1.0, over_cost: 1.0, ..Plan::default() };
