--- a/crates/market/src/claim.rs
+++ b/crates/market/src/claim.rs
@@ -280,8 +280,8 @@
         let mut mail: Vec<(u64, usize, usize, Vote)> = Vec::new();
         let (mut held, mut last) = (0, 0);
         for t in (0..20_000).step_by(10) {
-            for n in 0..5 {
-                if let Some(vote) = all[n].tick(at(t), &ips, 5) {
+            for (n, claims) in all.iter_mut().enumerate() {
+                if let Some(vote) = claims.tick(at(t), &ips, 5) {
                     (0..5).filter(|m| *m != n).for_each(|m| mail.push((t + 20, n, m, vote.clone())));
                 }
             }
