A disk that refuses does not end the coffer; a fresh proxy takes a small part; slots keep their names

From a reading of what a fresh proxy knows: with no word of the clerk it reckoned with itself alone and could use the whole quota and a cold backend's whole rate for 0.4 s (after all processes restart). It now reckons with 24 proxies until told. A rounding of the clerk's time could rename a running slot; differences under 60 ms are passed over. A coffer whose disk refuses answers 503 and begins anew from what is on it.

--- a/crates/coffer/src/main.rs
+++ b/crates/coffer/src/main.rs
@@ -3,22 +3,25 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::IpAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use damsonbeam_coffer::agree::{Act, Agree, Keep};
-use damsonbeam_coffer::store::{Roster, Store};
+use damsonbeam_coffer::store::{Fault, Roster, Store};
 use damsonbeam_market::items::Item;
 use damsonbeam_market::link::{self, In, Out};
-use damsonbeam_market::note::{Ip, Note, Shelf, addr, ip};
+use damsonbeam_market::note::{Ip, Note, Reply, Shelf, addr, ip};
 use damsonbeam_market::settings::{Port, Settings};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
 const TICK: Duration = Duration::from_millis(20);
+/// A disk that refused is tried again after this.
+const AGAIN: Duration = Duration::from_millis(400);
 /// Items named in a line of the log.
 const NAMED: usize = 8;
 const DIAL: Duration = Duration::from_millis(800);
@@ -50,8 +53,12 @@
 }
 
 struct Coffer {
+    me: Ip,
     agree: Agree,
-    store: Store,
+    /// None while the disk refuses.
+    store: Option<Store>,
+    dir: PathBuf,
+    ill: Duration,
     roster: Roster,
     shelf: Shelf,
     /// Links this one dialled, by peer.
@@ -72,12 +79,29 @@
     }
 
     /// Carries the acts out: what must be kept is on disk before anything that follows it is sent.
-    fn carry_out(&mut self, from: Option<(u64, Ip)>) -> Result<(), String> {
+    fn carry_out(&mut self, from: Option<(u64, Ip)>) {
         let acts = self.agree.done();
         let keeps: Vec<Keep> =
             acts.iter().filter_map(|a| if let Act::Keep(k) = a { Some(k.clone()) } else { None }).collect();
-        if !keeps.is_empty() {
-            self.store.keep(&keeps).map_err(|e| e.to_string())?;
+        if !keeps.is_empty()
+            && let Err(e) = self
+                .store
+                .as_ref()
+                .ok_or("it is closed".to_string())
+                .and_then(|s| s.keep(&keeps).map_err(|e| e.to_string()))
+        {
+            // Nothing that depends on it is said. What the agreement has in mind is no longer what is on disk: it
+            // begins anew from there, once the disk takes writes again.
+            log::error!("coffer: the disk refuses: {e}.");
+            self.store = None;
+            self.ill = self.now() + AGAIN;
+            for (link, no) in std::mem::take(&mut self.orders).into_values() {
+                if let Some((_, out)) = self.came.get(&link) {
+                    let reply = Reply::Unsettled("the disk refuses".into());
+                    out.send(&Note::Reply { no, reply });
+                }
+            }
+            return;
         }
         for act in acts {
             match act {
@@ -110,10 +134,34 @@
                 }
             }
         }
-        Ok(())
     }
 
-    fn mail(&mut self, mail: Mail, roster: &Rc<RefCell<Vec<Ip>>>) -> Result<(), String> {
+    /// Opens the store again after the disk refused, and begins from what is on it.
+    fn recover(&mut self) {
+        let now = self.now();
+        if self.store.is_some() || now < self.ill {
+            return;
+        }
+        self.ill = now + AGAIN;
+        match Store::open(&self.dir).and_then(|s| s.read().map(|r| (s, r))) {
+            Ok((store, (kept, ..))) => {
+                log::info!("coffer: the disk is back with {} items.", kept.accepted.items.len());
+                self.agree = Agree::new(self.me, kept, false, rand::random(), now);
+                self.agree.roster(&self.roster.0, self.roster.1);
+                self.store = Some(store);
+            }
+            Err(e) => log::warn!("coffer: the disk still refuses: {e}."),
+        }
+    }
+
+    /// What is kept along: it may be lost, so a disk that refuses it is no matter.
+    fn aside(&self, keep: impl FnOnce(&Store) -> Result<(), Fault>) {
+        if let Some(Err(e)) = self.store.as_ref().map(keep) {
+            log::warn!("coffer: not kept: {e}.");
+        }
+    }
+
+    fn mail(&mut self, mail: Mail, roster: &Rc<RefCell<Vec<Ip>>>) {
         match mail {
             Mail::Up { peer, out } => drop(self.peers.insert(peer, out)),
             Mail::Down { peer } => drop(self.peers.remove(&peer)),
@@ -136,7 +184,7 @@
                 self.agree.roster(&new.0, new.1);
                 *roster.borrow_mut() = new.0.clone();
                 if new != self.roster {
-                    self.store.keep_roster(&new).map_err(|e| e.to_string())?;
+                    self.aside(|s| s.keep_roster(&new));
                     self.roster = new;
                 }
             }
@@ -151,27 +199,34 @@
                     } else if let Some((_, out)) = self.warden.and_then(|w| self.came.get(&w)) {
                         out.send(&note);
                     }
-                    self.store.keep_shelf(&shelf).map_err(|e| e.to_string())?;
+                    self.aside(|s| s.keep_shelf(&shelf));
                     self.shelf = shelf;
                 }
             }
             Mail::Heard { link, note: Note::Ask { no, order } } => {
+                if self.store.is_none() {
+                    if let Some((_, out)) = self.came.get(&link) {
+                        let reply = Reply::Unsettled("the disk refuses".into());
+                        out.send(&Note::Reply { no, reply });
+                    }
+                    return;
+                }
                 self.next_order += 1;
                 self.orders.insert(self.next_order, (link, no));
                 let now = self.now();
                 self.agree.order(self.next_order, order, now);
-                self.carry_out(None)?;
+                self.carry_out(None);
             }
+            Mail::Heard { .. } if self.store.is_none() => {}
             Mail::Heard { link, note } => {
                 let from = self.came.get(&link).map(|c| c.0).or_else(|| peer_of(link));
                 if let Some(from) = from {
                     let now = self.now();
                     self.agree.heard(from, note, now);
-                    self.carry_out(Some((link, from)))?;
+                    self.carry_out(Some((link, from)));
                 }
             }
         }
-        Ok(())
     }
 }
 
@@ -231,8 +286,11 @@
     agree.roster(&known.0, known.1);
     let roster = Rc::new(RefCell::new(known.0.clone()));
     let mut coffer = Coffer {
+        me,
         agree,
-        store,
+        store: Some(store),
+        dir,
+        ill: Duration::ZERO,
         roster: known,
         shelf,
         peers: HashMap::new(),
@@ -242,7 +300,7 @@
         next_order: 0,
         start,
     };
-    coffer.carry_out(None)?;
+    coffer.carry_out(None);
     let listener = link::listen(settings.inner(settings.ip, Port::Coffer))?;
     let (to, mut mailbox) = mpsc::channel(1024);
     let accepted = to.clone();
@@ -268,11 +326,14 @@
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            Some(mail) = mailbox.recv() => coffer.mail(mail, &roster)?,
+            Some(mail) = mailbox.recv() => coffer.mail(mail, &roster),
             _ = tick.tick() => {
                 let now = coffer.now();
-                coffer.agree.tick(now);
-                coffer.carry_out(None)?;
+                coffer.recover();
+                if coffer.store.is_some() {
+                    coffer.agree.tick(now);
+                }
+                coffer.carry_out(None);
                 held.retain(|_, task| !task.is_finished());
                 for peer in roster.borrow().iter().filter(|p| **p != me) {
                     if !held.contains_key(peer) {
--- a/crates/porter/src/main.rs
+++ b/crates/porter/src/main.rs
@@ -244,6 +244,13 @@
                     reign = term;
                 }
             }
+            // The clerk's word is the better one, but at a start there is none.
+            Some(Word::Porters(porters)) if reign == 0 && porters > 0 => {
+                let porters = counts.toll.share(porters, porters, clock.now());
+                purse.borrow_mut().share(porters);
+                stock.borrow_mut().thaw.share(porters);
+            }
+            Some(Word::Porters(_)) => {}
             Some(Word::Totals(totals)) => counts.toll.told(&totals, clock.now()),
             Some(Word::Clerk(linked)) => {
                 counts.toll.link(linked, false);
--- a/crates/porter/src/news.rs
+++ b/crates/porter/src/news.rs
@@ -33,6 +33,8 @@
     Items,
     List(Vec<Server>),
     Beat(Beat),
+    /// How many porters a warden that is not the clerk knows.
+    Porters(u32),
     Totals(Vec<(String, f64)>),
     /// There is a way to the clerk, or none.
     Clerk(bool),
@@ -201,7 +203,7 @@
                 if k.hear_clerk(beat.clerk) {
                     log::info!("news: the clerk is {:?}.", k.clerk.map(|c| addr(c.0)));
                 }
-                clerk.then_some(Word::Beat(beat))
+                Some(if clerk { Word::Beat(beat) } else { Word::Porters(beat.porters) })
             }
             Note::News { no, items } => {
                 self.out.send(&Note::Heard { no });
--- a/crates/porter/src/thaw.rs
+++ b/crates/porter/src/thaw.rs
@@ -9,6 +9,8 @@
 
 use damsonbeam::interface::TgtId;
 
+use crate::toll::UNTOLD;
+
 /// The list tells late how long it stays cold.
 const LATE: Duration = Duration::from_millis(400);
 /// Where nothing says what a cold backend bears, it gets one request in this time from all.
@@ -29,7 +31,7 @@
 
 impl Default for Thaw {
     fn default() -> Self {
-        Thaw { porters: 1.0, cold: HashMap::new() }
+        Thaw { porters: f64::from(UNTOLD), cold: HashMap::new() }
     }
 }
 
--- a/crates/porter/src/toll.rs
+++ b/crates/porter/src/toll.rs
@@ -28,6 +28,10 @@
 const STAYS: Duration = Duration::from_millis(2000);
 /// Units let in here since the others were heard of from which it is taken that each of them does the same.
 const SPARE: f64 = 1.0;
+/// The common time is known this well, in seconds: two ways between regions differ by less.
+const JITTER: f64 = 0.06;
+/// So many proxies are reckoned with before anybody told: a fresh one among others must not use the quota alone.
+pub const UNTOLD: u32 = 24;
 /// The most proxies told count for so long.
 const MOST: Duration = Duration::from_secs(20);
 /// Tenants that are not near their quotas are told of so often.
@@ -92,7 +96,7 @@
     near_until: Duration,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Toll {
     porters: f64,
     attached: f64,
@@ -110,6 +114,23 @@
     told_calm: Option<Duration>,
 }
 
+impl Default for Toll {
+    fn default() -> Self {
+        Toll {
+            porters: f64::from(UNTOLD),
+            attached: f64::from(UNTOLD),
+            most: (0, Duration::ZERO),
+            linked: false,
+            unanswered: None,
+            names: BTreeMap::new(),
+            tenants: HashMap::new(),
+            ahead: 0.0,
+            swept: Duration::ZERO,
+            told_calm: None,
+        }
+    }
+}
+
 /// A slot of the module's and its tenant.
 fn parts(name: &str) -> Option<(u64, &str)> {
     let (slot, tenant) = name.split_once('/')?;
@@ -120,7 +141,7 @@
     /// What the clerk says of the proxies. A clerk that has just begun has not met all: the most told of late counts.
     /// Tells how many are reckoned with.
     pub fn share(&mut self, porters: u32, attached: u32, now: Duration) -> u32 {
-        if porters >= self.most.0 || now >= self.most.1 + MOST {
+        if porters >= self.most.0 || self.most.0 == 0 || now >= self.most.1 + MOST {
             self.most = (porters, now);
         }
         let porters = self.most.0;
@@ -139,8 +160,11 @@
     }
 
     /// The common time is so far ahead of the module's: slots are named by the common one.
+    /// Small differences are the ways' of messages: slots must not be renamed for them.
     pub fn clock(&mut self, ahead: f64) {
-        self.ahead = ahead;
+        if (ahead - self.ahead).abs() >= JITTER {
+            self.ahead = ahead;
+        }
     }
 
     pub fn limit(&mut self, tenant: &str, rate: f64, slot: f64) {
@@ -301,6 +325,19 @@
         assert!(t.count("1/x", 0.0, at(1400)) >= 5.0, "zeroed sums let a second burst through");
     }
 
+    #[test]
+    fn a_fresh_proxy_takes_a_small_part_and_small_steps_of_the_common_time_rename_no_slot() {
+        let mut t = Toll::default();
+        t.limit("x", 100.0, 0.5);
+        assert_eq!(t.count("4/x", 1.0, at(0)), f64::from(UNTOLD));
+        t.share(3, 3, at(0));
+        t.link(true, true);
+        t.clock(0.249);
+        t.count("4/x", 1.0, at(1));
+        t.clock(0.251);
+        assert_eq!(t.fresh(at(2)).len(), 1, "one slot has two names");
+    }
+
     #[test]
     fn absent_proxies_keep_their_parts_and_slots_go_by_the_common_time() {
         let mut t = Toll::default();
