--- a/crates/coffer/src/main.rs
+++ b/crates/coffer/src/main.rs
@@ -353,12 +353,5 @@
 
 fn main() -> ExitCode {
     let about = "One coffer: the store of the configuration. Configured by DAMSONBEAM_CONFIG.";
-    let () = bpaf::Parser::to_options(bpaf::pure(())).descr(about).run();
-    damsonbeam_market::logs();
-    let outcome = Settings::read().map_err(|e| e.to_string()).and_then(|settings| {
-        let options = tokio::runtime::LocalOptions::default();
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build_local(options);
-        runtime.map_err(|e| format!("runtime: {e}"))?.block_on(run(settings))
-    });
-    damsonbeam_market::ended("coffer", outcome)
+    damsonbeam_market::program("coffer", about, run)
 }
--- a/crates/coffer/src/store.rs
+++ b/crates/coffer/src/store.rs
@@ -6,12 +6,11 @@
 
 use std::fs::{File as OsFile, OpenOptions};
 use std::io;
-use std::net::IpAddr;
 use std::os::unix::fs::FileExt;
 use std::path::Path;
 
 use damsonbeam_market::items::{Ballot, Item, Key};
-use damsonbeam_market::note::{Ip, Shelf, addr};
+use damsonbeam_market::note::{Ip, Shelf};
 use redb::{Database, Durability, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
 
 use crate::agree::{Keep, Kept};
@@ -187,8 +186,3 @@
     bitcode::decode(bytes)
         .map_err(|e| Fault::File { file: "items.redb".into(), why: format!("a record: {e}") })
 }
-
-/// The addresses of a roster.
-pub fn addrs(roster: &Roster) -> Vec<IpAddr> {
-    roster.0.iter().map(|ip| addr(*ip)).collect()
-}
--- a/crates/market/src/lib.rs
+++ b/crates/market/src/lib.rs
@@ -12,8 +12,10 @@
 
 use std::process::ExitCode;
 
+use settings::Settings;
+
 /// Logs go to standard error through logforth: each line begins with the prefix of its part.
-pub fn logs() {
+fn logs() {
     use logforth::record::{Level, LevelFilter};
     let level = match std::env::var("DAMSONBEAM_LOG").as_deref() {
         Ok("error") => Level::Error,
@@ -31,14 +33,27 @@
 /// SIGHUP says that the settings file has changed. What it holds is fixed for a process's life (addresses, place,
 /// bounds) but for the seeds, which members replace; so it is only checked, and what is wrong with it is told.
 pub fn reloaded(part: &str) {
-    match settings::Settings::read() {
+    match Settings::read() {
         Ok(_) => log::info!("{part}: SIGHUP, the settings file is whole."),
         Err(e) => log::warn!("{part}: SIGHUP, {e}; the old settings stay."),
     }
 }
 
-/// Ends a program: an error is one line.
-pub fn ended(part: &str, outcome: Result<(), String>) -> ExitCode {
+/// A program from its command line to its exit code: settings, logs, one thread, and `run` until it ends. An error is
+/// one line.
+pub fn program<F: Future<Output = Result<(), String>>>(
+    part: &str,
+    about: &'static str,
+    run: impl FnOnce(Settings) -> F,
+) -> ExitCode {
+    let () = bpaf::Parser::to_options(bpaf::pure(())).descr(about).run();
+    logs();
+    let outcome = Settings::read().map_err(|e| e.to_string()).and_then(|settings| {
+        // One core, one thread.
+        let options = tokio::runtime::LocalOptions::default();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build_local(options);
+        runtime.map_err(|e| format!("runtime: {e}"))?.block_on(run(settings))
+    });
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
