--- a/crates/market/src/link.rs
+++ b/crates/market/src/link.rs
@@ -64,10 +64,6 @@
     pub fn bytes(&self, bytes: Vec<u8>) -> bool {
         self.0.try_send(bytes).is_ok()
     }
-
-    pub fn is_closed(&self) -> bool {
-        self.0.is_closed()
-    }
 }
 
 pub struct In(BufReader<OwnedReadHalf>);
