Proxies account for what they did not serve: request, cause, versions; beadle account

Need: a refused request was explained only at debug. Each proxy keeps its last 1,000 with route, tenant and their versions, the clerk's term and the list's reading (ledger.rs, I/O-free; bounded); GET /-/account at the readiness address, and a line of sums each 5 s in the log at info. damsonbeam-beadle account joins proxies by the common time. The gateway's seam for protocols hands back with the answer what was said when the request was read; nothing changes for the protocol in service. Tested alone and by the whole system on loopback.

--- a/crates/beadle/src/lib.rs
+++ b/crates/beadle/src/lib.rs
@@ -11,6 +11,8 @@
 use damsonbeam_coffer::store::Store;
 use damsonbeam_market::items::{Book, Change, Item, Kind, Tenant};
 use damsonbeam_market::settings::Settings;
+use damsonbeam_market::value::{Value, parse};
+use simd_json::prelude::*;
 
 /// A warden answers within this, or it is held for gone.
 const ANSWER: Duration = Duration::from_secs(5);
@@ -135,10 +137,54 @@
 /// # Errors
 /// Where it does not answer.
 pub fn state(at: SocketAddr) -> Result<String, Fault> {
+    get(at, "/-/state")
+}
+
+/// What proxies did not serve of late, in order of time, or what one request came to.
+///
+/// # Errors
+/// Where one does not answer, or none knows that request.
+pub fn account(proxies: &[SocketAddr], request: Option<&str>) -> Result<String, Fault> {
+    let mut rows = Vec::new();
+    for at in proxies {
+        let path = request.map_or("/-/account".into(), |r| format!("/-/account?request={r}"));
+        let body = parse(get(*at, &path)?.into_bytes()).map_err(|e| Fault::Asked(format!("{at}: {e}")))?;
+        let last = body.get("last").and_then(|l| l.as_array());
+        let last = last.ok_or_else(|| Fault::Asked(format!("{at}: no account")))?;
+        rows.extend(last.iter().map(|e| (e.get("at_ms").and_then(|a| a.as_u64()).unwrap_or(0), row(*at, e))));
+    }
+    rows.sort();
+    if let Some(request) = request.filter(|_| rows.is_empty()) {
+        let why = "served, never come, or of longer ago than is kept";
+        return Err(Fault::Asked(format!("no proxy asked has an account of `{request}`: {why}")));
+    }
+    Ok(rows.into_iter().map(|r| r.1).collect::<Vec<_>>().join("\n"))
+}
+
+/// One event of an account as a sentence.
+fn row(at: SocketAddr, e: &Value) -> String {
+    let text = |name: &str| e.get(name).and_then(|v| v.as_str()).unwrap_or("none");
+    let ms = e.get("at_ms").and_then(|a| a.as_u64()).unwrap_or(0);
+    let (h, m, s) = (ms / 3_600_000 % 24, ms / 60_000 % 60, ms / 1000 % 60);
+    let ran = e.get("may_have_run").and_then(|r| r.as_bool()).unwrap_or(true);
+    format!(
+        "{h:02}:{m:02}:{s:02}.{:03}  {at}  request {}: {}, {}; route {}, tenant {}, clerk's term {}, list {}",
+        ms % 1000,
+        text("request"),
+        text("cause"),
+        if ran { "it may have run" } else { "it has not run" },
+        text("route"),
+        text("tenant"),
+        e.get("clerk_term").and_then(|t| t.as_u64()).unwrap_or(0),
+        text("list")
+    )
+}
+
+fn get(at: SocketAddr, path: &str) -> Result<String, Fault> {
     let asked = || -> std::io::Result<String> {
         let mut stream = TcpStream::connect_timeout(&at, ANSWER)?;
         stream.set_read_timeout(Some(ANSWER))?;
-        write!(stream, "GET /-/state HTTP/1.1\r\nHost: {at}\r\nConnection: close\r\n\r\n")?;
+        write!(stream, "GET {path} HTTP/1.1\r\nHost: {at}\r\nConnection: close\r\n\r\n")?;
         let mut text = String::new();
         stream.read_to_string(&mut text)?;
         Ok(text)
--- a/crates/beadle/src/main.rs
+++ b/crates/beadle/src/main.rs
@@ -6,7 +6,7 @@
 
 use bpaf::Bpaf;
 use damsonbeam_beadle::{
-    Fault, check_calls, check_settings, explain, export_store, show_store, state, verify_store,
+    Fault, account, check_calls, check_settings, explain, export_store, show_store, state, verify_store,
 };
 
 #[derive(Clone, Debug, Bpaf)]
@@ -22,6 +22,15 @@
     /// How a live system stands, as the warden at that control address sees it
     #[bpaf(command("state"))]
     State(#[bpaf(positional("ADDRESS"))] SocketAddr),
+    /// What proxies did not serve of late, with cause and versions, or what one request came to
+    #[bpaf(command("account"))]
+    Account {
+        /// One request's id
+        #[bpaf(argument("ID"))]
+        request: Option<String>,
+        #[bpaf(positional("READINESS-ADDRESS"), some("name a proxy at least"))]
+        proxies: Vec<SocketAddr>,
+    },
     /// A coffer's store: its items, their versions and ballots. Only while no coffer runs on it.
     #[bpaf(command("store-show"))]
     Show(#[bpaf(positional("FOLDER"))] PathBuf),
@@ -47,6 +56,7 @@
         Work::Settings(path) => check_settings(&path),
         Work::Calls(paths) => check_calls(&paths),
         Work::State(at) => state(at),
+        Work::Account { request, proxies } => account(&proxies, request.as_deref()),
         Work::Show(dir) => show_store(&dir),
         Work::Verify(dir) => verify_store(&dir),
         Work::Export(dir) => export_store(&dir),
--- a/crates/beadle/tests/whole/main.rs
+++ b/crates/beadle/tests/whole/main.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use damsonbeam_beadle::account;
 use damsonbeam_lab::plain::Message;
 use street::*;
 
@@ -86,6 +87,16 @@
         (404, 401, 401)
     );
 
+    // What was not served is accounted for, by whoever met it.
+    get(edges[0], "/nowhere/", KEY);
+    let proxies: Vec<SocketAddr> = street.machines.iter().filter(|m| !m.core).map(|m| m.at(READY)).collect();
+    let told = account(&proxies, None).expect("an account");
+    assert!(told.lines().any(|l| l.contains(": no_route, it has not run; route none")), "{told}");
+    assert!(told.lines().any(|l| l.contains(": no_key, it has not run")), "{told}");
+    let id = told.split("request ").nth(1).and_then(|t| t.split(':').next()).expect("an id");
+    assert_eq!(account(&proxies, Some(id)).expect("known").lines().count(), 1);
+    assert!(account(&proxies, Some("q-unheard-of")).is_err());
+
     // A bad call is refused whole and says why; nothing of it is in force.
     let bad = first(&[route("r-5", "/five/", "s", 1, ""), route("r-6", "/six/", "nowhere", 1, "")], TENANT);
     let refused = street.order("PATCH /-/configuration", &bad);
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -1,5 +1,6 @@
 //! The clients: a listener, tower services over hyper's connections, and the registry of those connections.
 
+use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
@@ -212,15 +213,19 @@
     /// # Errors
     /// The answer.
     fn decode(&self, inv: InvId, head: &Parts) -> Result<Decoded, Turned>;
-    /// The answer to the request of that name.
-    fn encode(&self, name: &str, answer: Answer) -> Reply200;
+    /// The answer to the request of that name, and what was said of it when it was read.
+    fn encode(&self, name: &str, about: About, answer: Answer) -> Reply200;
 }
 
+/// What whoever reads a request wants to know of it again with its answer.
+pub type About = Option<Box<dyn Any>>;
+
 /// A request that can be used: what the module is told, its name, how long its client waits from its last byte
 /// on, the headers that go on, and the module that decides on it.
 pub struct Decoded {
     pub told: Invocation,
     pub name: String,
+    pub about: About,
     pub left: Duration,
     pub headers: HeaderMap,
     pub to: mpsc::Sender<ToModule>,
@@ -550,7 +555,7 @@
     async fn invoke(&self, conn: &Conn, request: Request<Incoming>) -> Result<Reply200, Turned> {
         let (head, body) = request.into_parts();
         let inv = InvId(self.next.replace(self.next.get() + 1));
-        let Decoded { mut told, name, left, headers, to } = self.front.decode(inv, &head)?;
+        let Decoded { mut told, name, about, left, headers, to } = self.front.decode(inv, &head)?;
         let body = self.body(conn, &head.method, body, told.inv, left, &to).await.map_err(turned)?;
         told.coming = body.coming().is_some();
         // Its client's time runs from its last byte.
@@ -579,7 +584,7 @@
             conn.unread.set(true);
             tokio::task::spawn_local(async move { coming.drain().await });
         }
-        Ok(self.front.encode(&held.name, answer))
+        Ok(self.front.encode(&held.name, about, answer))
     }
 
     /// A request's body: whole where it is small, else its start and what still comes.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc;
 
 use crate::backends::{ID, TIME_LEFT, end_to_end};
-use crate::clients::{Decoded, Front, Reply200, Turned, plain, turned};
+use crate::clients::{About, Decoded, Front, Reply200, Turned, plain, turned};
 use crate::log::log;
 use crate::mail::{Answer, ToModule};
 
@@ -128,7 +128,7 @@
         let (name, left) = (name.to_owned(), left.min(asked.integration_timeout));
         let mut headers = headers.clone();
         end_to_end(&mut headers, &name);
-        Some(Decoded { told, name, left, headers, to: self.module.clone() })
+        Some(Decoded { told, name, about: None, left, headers, to: self.module.clone() })
     }
 }
 
@@ -149,7 +149,7 @@
         })
     }
 
-    fn encode(&self, _: &str, answer: Answer) -> Reply200 {
+    fn encode(&self, _: &str, _: About, answer: Answer) -> Reply200 {
         match answer {
             Answer::Succeeded(reply) => {
                 let mut answer = Response::new(reply.body);
--- a/crates/market/src/items.rs
+++ b/crates/market/src/items.rs
@@ -280,6 +280,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
     pub name: String,
+    pub version: u64,
     pub host: String,
     pub prefix: String,
     pub kind: RouteKind,
@@ -297,6 +298,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     pub name: String,
+    pub version: u64,
     pub keys: Vec<String>,
     pub rate: f64,
     pub burst: f64,
@@ -399,6 +401,7 @@
         }
         Ok(Route {
             name: item.key.name.clone(),
+            version: item.version,
             host: of.text("host_name")?.to_ascii_lowercase(),
             prefix,
             kind,
@@ -420,6 +423,7 @@
         let of = Of(item, item.value()?);
         Ok(Tenant {
             name: item.key.name.clone(),
+            version: item.version,
             keys: of.texts("api_keys")?,
             rate: of.number("rate_per_s")?,
             burst: of.number("burst")?,
--- a/crates/porter/src/lib.rs
+++ b/crates/porter/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod chart;
 pub mod desk;
+pub mod ledger;
 pub mod news;
 pub mod purse;
 pub mod speech;
--- a/crates/porter/src/main.rs
+++ b/crates/porter/src/main.rs
@@ -20,15 +20,16 @@
 use damsonbeam_market::settings::Settings;
 use damsonbeam_porter::chart::Chart;
 use damsonbeam_porter::desk::{Counted, Desks};
+use damsonbeam_porter::ledger::Ledger;
 use damsonbeam_porter::news::{self, Known, Word};
 use damsonbeam_porter::purse::Purse;
 use damsonbeam_porter::speech::{Backends, Requests};
 use damsonbeam_porter::stock::Stock;
 use damsonbeam_porter::toll::Toll;
-use http_body_util::Empty;
-use hyper::body::Bytes;
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
 use hyper::service::service_fn;
-use hyper::{Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use rand::Rng;
 use tokio::net::TcpListener;
@@ -81,17 +82,22 @@
     }
 }
 
-async fn readiness(listener: TcpListener, now: Now) {
+/// The platform's checks, and the account of what was not served for staff.
+async fn readiness(listener: TcpListener, now: Now, ledger: Rc<RefCell<Ledger>>, ahead: Rc<Cell<f64>>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(TICK).await;
             continue;
         };
-        let now = now.clone();
+        let (now, ledger, ahead) = (now.clone(), ledger.clone(), ahead.clone());
         tokio::task::spawn_local(async move {
-            let service = service_fn(move |_| {
-                let mut answer = Response::new(Empty::<Bytes>::new());
-                if !now.stage().serves() {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let mut answer = Response::new(Full::<Bytes>::default());
+                if request.uri().path() == "/-/account" {
+                    let one = request.uri().query().and_then(|q| q.strip_prefix("request="));
+                    let ahead = Duration::try_from_secs_f64(ahead.get()).unwrap_or_default();
+                    *answer.body_mut() = ledger.borrow().show(one, ahead).into();
+                } else if !now.stage().serves() {
                     *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
                 }
                 async move { Ok::<_, Infallible>(answer) }
@@ -109,7 +115,9 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
     let mut reload = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
     let now = Now::default();
-    tokio::task::spawn_local(readiness(listen(settings.listens("readiness")?)?, now.clone()));
+    let (ledger, ahead) = (Rc::new(RefCell::new(Ledger::default())), Rc::new(Cell::new(0.0)));
+    let checks = listen(settings.listens("readiness")?)?;
+    tokio::task::spawn_local(readiness(checks, now.clone(), ledger.clone(), ahead.clone()));
     let front = settings.listens("front")?;
     let stand = Stand {
         node: node.clone(),
@@ -140,7 +148,9 @@
     let desks = Rc::new(RefCell::new(desks));
     let chart = Rc::new(RefCell::new(Rc::new(Chart::default())));
     let idle_s = Rc::new(Cell::new(0));
-    let requests = Requests { desks: desks.clone(), chart: chart.clone(), idle_s: idle_s.clone() };
+    let (for_requests, by_chart, idle) = (desks.clone(), chart.clone(), idle_s.clone());
+    let requests =
+        Requests { desks: for_requests, chart: by_chart, idle_s: idle, ledger: ledger.clone(), clock };
     let clients =
         Rc::new(Clients::new(Rc::new(requests), most_clients, bodies, clock, now.clone(), &figures));
     let mut counts = Counts { toll: Toll::new(rand::random()), clock, known: known.clone() };
@@ -165,6 +175,9 @@
                 }
                 _ = tick.tick() => {
                     counts.flush();
+                    if let Some(line) = ledger.borrow_mut().line(clock.now()) {
+                        log::info!("account: {line}");
+                    }
                     // Cold backends whose turn has come, or that are cold no more.
                     let states: Vec<_> = stock.borrow().thaw.all(clock.now()).collect();
                     let mut turned = false;
@@ -222,6 +235,7 @@
             }
             Some(Word::List(servers)) => {
                 let chart = chart.borrow().clone();
+                ledger.borrow_mut().list = known.borrow().list();
                 stock.borrow_mut().take(servers, &chart, clock.now(), &mut lot);
                 desks.borrow_mut().settle();
                 desks.borrow().tell_all();
@@ -239,7 +253,9 @@
                 let k = known.borrow();
                 if let Some((at, ms, term)) = k.time {
                     let common = Duration::from_millis(ms) + at.elapsed();
-                    counts.toll.clock(common.as_secs_f64() - clock.now().as_secs_f64());
+                    ahead.set(common.as_secs_f64() - clock.now().as_secs_f64());
+                    counts.toll.clock(ahead.get());
+                    ledger.borrow_mut().term = term;
                     counts.toll.link(k.clerk().is_some(), term != reign);
                     reign = term;
                 }
--- a/crates/porter/src/news.rs
+++ b/crates/porter/src/news.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Term and reading of the list.
+    pub fn list(&self) -> (u64, u64) {
+        self.list
+    }
+
     /// The link to the clerk.
     pub fn clerk(&self) -> Option<&Out> {
         self.links.get(&self.clerk?.0)
--- a/crates/porter/src/speech.rs
+++ b/crates/porter/src/speech.rs
@@ -9,7 +9,8 @@
 use damsonbeam::interface::{CustomerId, GatewayId, InvId, Invocation, Outcome, PlanId, Why};
 use damsonbeam_gateway::backends::{Back, end_to_end};
 use damsonbeam_gateway::bodies::Given;
-use damsonbeam_gateway::clients::{Decoded, Front, Reply200, Turned, plain, turned};
+use damsonbeam_gateway::clients::{About, Decoded, Front, Reply200, Turned, plain, turned};
+use damsonbeam_gateway::clock::Clock;
 use damsonbeam_gateway::front::one;
 use damsonbeam_gateway::mail::Answer;
 use hyper::header::{AUTHORIZATION, HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
@@ -18,6 +19,7 @@
 
 use crate::chart::{Chart, Stop};
 use crate::desk::Desks;
+use crate::ledger::{Cause, Ledger, Subject};
 
 static ID: HeaderName = HeaderName::from_static("x-request-id");
 static DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
@@ -37,6 +39,16 @@
     pub chart: Rc<RefCell<Rc<Chart>>>,
     /// Seconds for which an idle connection is kept, told to clients.
     pub idle_s: Rc<Cell<u64>>,
+    pub ledger: Rc<RefCell<Ledger>>,
+    pub clock: Clock,
+}
+
+impl Requests {
+    fn note(&self, name: &str, cause: Cause, ran: bool, subject: &Subject) {
+        self.ledger.borrow_mut().note(name, cause, ran, subject, self.clock.now());
+        let ran = if ran { "it may have run" } else { "it has not run" };
+        log::debug!("request: {name} is not served ({}), {ran}.", cause.name());
+    }
 }
 
 impl Front for Requests {
@@ -67,15 +79,20 @@
             // No configuration yet: whoever asks is told to come back, not that there is no such route.
             return Err(Box::new(later(StatusCode::SERVICE_UNAVAILABLE, Some(Duration::from_millis(500)))));
         }
-        let (route, tenant) =
-            chart.find(host, head.uri.path(), key.map(str::trim)).map_err(|stop| match stop {
-                Stop::NoRoute => turned(StatusCode::NOT_FOUND),
-                Stop::NoKey => turned(StatusCode::UNAUTHORIZED),
-            })?;
+        let (route, tenant) = chart.find(host, head.uri.path(), key.map(str::trim)).map_err(|stop| {
+            let (cause, status) = match stop {
+                Stop::NoRoute => (Cause::NoRoute, StatusCode::NOT_FOUND),
+                Stop::NoKey => (Cause::NoKey, StatusCode::UNAUTHORIZED),
+            };
+            self.note(name, cause, false, &Subject::default());
+            turned(status)
+        })?;
+        let subject = Subject { route: Some(route.clone()), tenant: tenant.cloned() };
         let homes = Chart::homes(route, tenant.map(|t| &**t));
         let mut desks = self.desks.borrow_mut();
         let Some((to, op)) = desks.desk(route, &homes) else {
             // Nowhere may it be served: homes that have nothing in common, or a service without backends.
+            self.note(name, Cause::Nowhere, false, &subject);
             return Err(Box::new(later(StatusCode::SERVICE_UNAVAILABLE, Some(Duration::from_secs(1)))));
         };
         let plan = tenant.map_or(PlanId(usize::MAX), |t| desks.plan(&t.name));
@@ -99,16 +116,14 @@
             out.insert(&TENANT, value);
         }
         let left = Duration::from_millis(left.min(route.timeout_ms));
-        Ok(Decoded { told, name: name.to_owned(), left, headers: out, to })
+        Ok(Decoded { told, name: name.to_owned(), about: Some(Box::new(subject)), left, headers: out, to })
     }
 
-    fn encode(&self, name: &str, answer: Answer) -> Reply200 {
+    fn encode(&self, name: &str, about: About, answer: Answer) -> Reply200 {
+        let subject = about.and_then(|a| a.downcast::<Subject>().ok()).unwrap_or_default();
         match &answer {
-            Answer::Throttled { why, clean, .. } => {
-                let ran = if *clean { "it has not run" } else { "it may have run" };
-                log::debug!("request: {name} is turned away ({}), {ran}.", why.name());
-            }
-            Answer::Errored => log::debug!("request: {name} failed."),
+            Answer::Throttled { why, clean, .. } => self.note(name, Cause::away(*why), !clean, &subject),
+            Answer::Errored => self.note(name, Cause::Failed, true, &subject),
             Answer::Succeeded(_) => {}
         }
         let mut out = match answer {
