--- a/crates/beadle/src/lib.rs
+++ b/crates/beadle/src/lib.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use damsonbeam_coffer::store::Store;
-use damsonbeam_market::items::{Book, Change, Item, Kind, Tenant};
+use damsonbeam_market::items::{Book, Change, Item, Kind};
 use damsonbeam_market::settings::Settings;
 use damsonbeam_market::value::{Value, parse};
 use simd_json::prelude::*;
@@ -58,17 +58,7 @@
     }
     let count = |kind| book.standing(kind).count();
     let (routes, tenants, services) = (count(Kind::Route), count(Kind::Tenant), count(Kind::Service));
-    // Valid, and seldom meant; the keys themselves are nobody's to read.
-    let keys = book.keys();
-    let tenants_of = book.standing(Kind::Tenant).filter_map(|i| Tenant::read(i).ok());
-    let shared = tenants_of.flat_map(|t| {
-        let lost = t.keys.iter().filter_map(|k| keys.get(k)).find(|holder| holder.name != t.name);
-        lost.map(|holder| {
-            format!("\nnote: a key of `{}` is also held by `{}`, whose it is", t.name, holder.name)
-        })
-    });
-    let notes: String = shared.collect();
-    Ok(format!("valid: {routes} routes, {tenants} tenants, {services} services{notes}"))
+    Ok(format!("valid: {routes} routes, {tenants} tenants, {services} services"))
 }
 
 fn line(item: &Item, decided: bool) -> String {
--- a/crates/market/src/claim.rs
+++ b/crates/market/src/claim.rs
@@ -24,7 +24,7 @@
 /// One whose claims came to nothing stands back for so long: the votes it has must end, and another claim.
 const BACK: Duration = Duration::from_millis(2500);
 
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
 pub enum Vote {
     /// `sent`: the claimer's own time, which comes back with the grant.
     Claim {
@@ -45,7 +45,7 @@
     },
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Claims {
     me: Ip,
     /// A process that has just started may have voted in its last life: it votes for none for a lease.
--- a/crates/market/src/items.rs
+++ b/crates/market/src/items.rs
@@ -184,6 +184,7 @@
     /// The first item that clashes.
     pub fn check(&self) -> Result<(), Invalid> {
         let mut places = BTreeMap::new();
+        let mut keys = BTreeMap::new();
         for item in self.standing(Kind::Service) {
             let v = item.value()?;
             if v.get("health_path").is_some_and(|p| !p.is_str()) {
@@ -203,7 +204,14 @@
             }
         }
         for item in self.standing(Kind::Tenant) {
-            Tenant::read(item)?;
+            let tenant = Tenant::read(item)?;
+            for key in tenant.keys {
+                if let Some(other) = keys.insert(key, &item.key.name)
+                    && other != &item.key.name
+                {
+                    return Err(Invalid::Item(item.key.name.clone(), format!("a key is that of `{other}`")));
+                }
+            }
         }
         for item in self.standing(Kind::Limits) {
             Limits::read(item)?;
@@ -211,21 +219,6 @@
         Ok(())
     }
 
-    /// Tenants that stand, by their keys. A key that is on its way from one tenant to another may be held by both: it is
-    /// that of whose version is the higher, everywhere.
-    pub fn keys(&self) -> BTreeMap<String, Tenant> {
-        let mut out: BTreeMap<String, (u64, Tenant)> = BTreeMap::new();
-        for item in self.standing(Kind::Tenant) {
-            let Ok(tenant) = Tenant::read(item) else { continue };
-            for key in &tenant.keys {
-                if out.get(key).is_none_or(|known| known.0 < item.version) {
-                    out.insert(key.clone(), (item.version, tenant.clone()));
-                }
-            }
-        }
-        out.into_iter().map(|(key, (_, tenant))| (key, tenant)).collect()
-    }
-
     /// All items that stand, laid out as in the first call's set.
     pub fn show(&self) -> Vec<u8> {
         let mut out = Vec::from(b"{");
--- a/crates/porter/src/chart.rs
+++ b/crates/porter/src/chart.rs
@@ -33,10 +33,11 @@
         for all in chart.routes.values_mut() {
             all.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
-        let tenants = book.standing(Kind::Tenant).filter_map(|i| Tenant::read(i).ok());
-        chart.tenants = tenants.map(Rc::new).collect();
-        let whose = |t: &Tenant| chart.tenants.iter().find(|known| known.name == t.name).cloned();
-        chart.keys = book.keys().into_iter().filter_map(|(key, t)| Some((key, whose(&t)?))).collect();
+        for tenant in book.standing(Kind::Tenant).filter_map(|i| Tenant::read(i).ok()) {
+            let tenant = Rc::new(tenant);
+            chart.keys.extend(tenant.keys.iter().map(|k| (k.clone(), tenant.clone())));
+            chart.tenants.push(tenant);
+        }
         let services = book.standing(Kind::Service).filter_map(|i| Service::read(i).ok());
         chart.services = services.map(|s| (s.name.clone(), s)).collect();
         chart.evacuated = book.standing(Kind::Evacuation).map(|i| i.key.name.clone()).collect();
@@ -135,20 +136,6 @@
         assert_eq!(Chart::homes(&two, Some(&c.tenants[0])), Some(["q".to_string()].into()));
     }
 
-    #[test]
-    fn a_key_that_two_tenants_hold_is_that_of_the_later_version() {
-        let tenant = |name: &str, version: u32| {
-            format!(
-                r#"{{"name":"{name}","api_keys":["k"],"rate_per_s":5,"burst":5,"config_version":"r{version}"}}"#
-            )
-        };
-        for (a, b, whose) in [(1, 2, "b"), (3, 2, "a"), (2, 2, "a")] {
-            let c =
-                chart(&format!(r#"{{"upserts":{{"tenant_list":[{},{}]}}}}"#, tenant("a", a), tenant("b", b)));
-            assert_eq!(c.keys["k"].name, whose, "a r{a}, b r{b}");
-        }
-    }
-
     #[test]
     fn a_split_follows_its_weights_and_gives_nothing_to_a_weight_of_0() {
         let mut r = Route::read(
