Load summaries among proxies: what each sees of a backend goes by rumour to a few others (off as deployed)

The registry names partners by turns; the proxy carries datagrams (--load-summaries), shows /-/loads, and beadle loads asks it. Messages between processes are version 2.

--- a/crates/beadle/src/lib.rs
+++ b/crates/beadle/src/lib.rs
@@ -130,6 +130,15 @@
     get(at, "/-/state")
 }
 
+/// What a proxy knows of each backend's load: its own, what others told, from how many, how old, and what is kept of
+/// the backend's weight.
+///
+/// # Errors
+/// Where it does not answer.
+pub fn loads(at: SocketAddr) -> Result<String, Fault> {
+    get(at, "/-/loads")
+}
+
 /// What proxies did not serve of late, in order of time, or what one request came to.
 ///
 /// # Errors
--- a/crates/beadle/src/main.rs
+++ b/crates/beadle/src/main.rs
@@ -6,7 +6,8 @@
 
 use bpaf::Bpaf;
 use damsonbeam_beadle::{
-    Fault, account, check_calls, check_settings, explain, export_store, show_store, state, verify_store,
+    Fault, account, check_calls, check_settings, explain, export_store, loads, show_store, state,
+    verify_store,
 };
 
 #[derive(Clone, Debug, Bpaf)]
@@ -31,6 +32,9 @@
         #[bpaf(positional("READINESS-ADDRESS"), some("name a proxy at least"))]
         proxies: Vec<SocketAddr>,
     },
+    /// What a proxy knows of each backend's load, from how many others, how old
+    #[bpaf(command("loads"))]
+    Loads(#[bpaf(positional("READINESS-ADDRESS"))] SocketAddr),
     /// A coffer's store: its items, their versions and ballots. Only while no coffer runs on it.
     #[bpaf(command("store-show"))]
     Show(#[bpaf(positional("FOLDER"))] PathBuf),
@@ -56,6 +60,7 @@
         Work::Settings(path) => check_settings(&path),
         Work::Calls(paths) => check_calls(&paths),
         Work::State(at) => state(at),
+        Work::Loads(at) => loads(at),
         Work::Account { request, proxies } => account(&proxies, request.as_deref()),
         Work::Show(dir) => show_store(&dir),
         Work::Verify(dir) => verify_store(&dir),
--- a/crates/beadle/tests/whole/main.rs
+++ b/crates/beadle/tests/whole/main.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use damsonbeam_beadle::account;
+use damsonbeam_beadle::{account, loads};
 use damsonbeam_lab::plain::Message;
 use street::*;
 
@@ -54,7 +54,7 @@
 
 fn two_regions() -> Plan {
     let zones = vec![("a", "east", 1, 1), ("b", "west", 1, 1), ("c", "west", 0, 1)];
-    Plan { zones, bounds: BOUNDS.to_vec(), cloud: true }
+    Plan { zones, bounds: BOUNDS.to_vec(), cloud: true, words: &["--load-summaries"] }
 }
 
 fn serves(at: SocketAddr, path: &str) -> bool {
@@ -97,6 +97,12 @@
     assert_eq!(account(&proxies, Some(id)).expect("known").lines().count(), 1);
     assert!(account(&proxies, Some("q-unheard-of")).is_err());
 
+    // Each proxy hears of the others what they see of a backend.
+    street.until("loads are told", |_| {
+        edges.iter().for_each(|e| drop(get(*e, "/x/3", KEY)));
+        proxies.iter().all(|p| loads(*p).is_ok_and(|l| l.contains("\"told_by\":1")))
+    });
+
     // A bad call is refused whole and says why; nothing of it is in force.
     let bad = first(&[route("r-5", "/five/", "s", 1, ""), route("r-6", "/six/", "nowhere", 1, "")], TENANT);
     let refused = street.order("PATCH /-/configuration", &bad);
@@ -170,7 +176,7 @@
     let open = r#","public_access":true"#.to_string();
     let shapes = [
         // One zone, one core machine, no bounds told, no tenants.
-        Plan { zones: vec![("only", "here", 1, 1)], bounds: vec![], cloud: true },
+        Plan { zones: vec![("only", "here", 1, 1)], bounds: vec![], cloud: true, words: &[] },
         // Many zones, one region each; cores in some only.
         Plan {
             zones: vec![
@@ -187,6 +193,7 @@
                 "a_bound_of_tomorrow=true",
             ],
             cloud: true,
+            words: &[],
         },
     ];
     for plan in shapes {
--- a/crates/beadle/tests/whole/street.rs
+++ b/crates/beadle/tests/whole/street.rs
@@ -90,6 +90,8 @@
     pub zones: Vec<(&'static str, &'static str, usize, usize)>,
     pub bounds: Vec<&'static str>,
     pub cloud: bool,
+    /// Words for the proxies' command line.
+    pub words: &'static [&'static str],
 }
 
 pub struct Street {
@@ -218,6 +220,9 @@
                 std::fs::write(&file, text).expect("written");
                 let mut command = Command::new(built(program));
                 command.env("DAMSONBEAM_CONFIG", file).env("DAMSONBEAM_LOG", "debug");
+                if *program == "damsonbeam-porter" {
+                    command.args(self.plan.words);
+                }
                 let mut child = command.stderr(Stdio::piped()).spawn().expect("starts");
                 let (from, to) = (BufReader::new(child.stderr.take().expect("piped")), self.lines.0.clone());
                 thread::spawn(move || from.lines().map_while(Result::ok).all(|l| to.send(l).is_ok()));
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -30,6 +30,8 @@
     fn again(&mut self, now: Duration) -> bool;
     /// One is to go to that backend.
     fn sent(&mut self, tgt: TgtId, now: Duration) -> Sent;
+    /// One that went to it is over, after so long.
+    fn ended(&mut self, _: TgtId, _: Outcome, _: Duration, _: Duration) {}
 }
 
 /// Whether a delivery goes, and how its backend stands from now on, where that changes.
@@ -292,11 +294,20 @@
 
     fn tell(&mut self, inv: InvId, no: DeliveryNo, out: &Out, outcome: Outcome, report: Report) {
         self.state.held.get_mut(&inv).into_iter().for_each(|h| h.ran |= !outcome.never_ran());
+        self.over(out, outcome);
         let event = self.ended(inv, no, out, outcome, report);
         self.feed(event);
         self.tidy(inv);
     }
 
+    /// A delivery that went out is over.
+    fn over(&mut self, out: &Out, outcome: Outcome) {
+        let now = self.clock.now();
+        if let Some(guard) = &mut self.guard {
+            guard.ended(out.tgt, outcome, now.saturating_sub(out.sent), now);
+        }
+    }
+
     /// The same for one that ends by an action, told once all actions are carried out.
     fn tell_next(&mut self, inv: InvId, no: DeliveryNo, out: &Out, outcome: Outcome) {
         let event = self.ended(inv, no, out, outcome, vec![]);
@@ -337,6 +348,7 @@
             Action::Cancel { inv, no } => {
                 if let Some(out) = self.end(inv, no) {
                     out.line.give_up();
+                    self.over(&out, Outcome::Canceled);
                     self.tell_next(inv, no, &out, Outcome::Canceled);
                     self.tidy(inv);
                 }
@@ -446,6 +458,7 @@
         } else {
             held.deliveries.push(None);
             log!(warn, "backend-crowded", "a delivery not sent");
+            self.over(&out, Outcome::Ignored);
             self.tell_next(inv, no, &out, Outcome::ConnectFailed);
         }
     }
--- a/crates/market/src/lib.rs
+++ b/crates/market/src/lib.rs
@@ -46,13 +46,23 @@
     about: &'static str,
     run: impl FnOnce(Settings) -> F,
 ) -> ExitCode {
-    let () = bpaf::Parser::to_options(bpaf::pure(())).descr(about).run();
+    program_with(part, about, bpaf::pure(()), |settings, ()| run(settings))
+}
+
+/// The same, with words of its own on the command line.
+pub fn program_with<T, F: Future<Output = Result<(), String>>>(
+    part: &str,
+    about: &'static str,
+    words: impl bpaf::Parser<T> + 'static,
+    run: impl FnOnce(Settings, T) -> F,
+) -> ExitCode {
+    let words = words.to_options().descr(about).run();
     logs();
     let outcome = Settings::read().map_err(|e| e.to_string()).and_then(|settings| {
         // One core, one thread.
         let options = tokio::runtime::LocalOptions::default();
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build_local(options);
-        runtime.map_err(|e| format!("runtime: {e}"))?.block_on(run(settings))
+        runtime.map_err(|e| format!("runtime: {e}"))?.block_on(run(settings, words))
     });
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/market/src/note.rs
+++ b/crates/market/src/note.rs
@@ -9,7 +9,7 @@
 use crate::members::Rumour;
 
 /// The version of these messages, the first byte of each.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// Bytes of a message at most.
 pub const MOST: usize = 24 << 20;
 
@@ -123,6 +123,13 @@
     },
     /// Counts' names and what all porters hold and were asked for under each.
     Totals(Vec<(String, f64, f64)>),
+    /// From a porter: it wants to be told of others to exchange load summaries with.
+    Partners,
+    /// From a warden: a few ready porters of its region, and of others.
+    Few {
+        near: Vec<Ip>,
+        far: Vec<Ip>,
+    },
     // Between a coffer and its warden.
     Roster {
         ips: Vec<Ip>,
--- a/crates/market/src/settings.rs
+++ b/crates/market/src/settings.rs
@@ -58,6 +58,8 @@
     Coffer,
     /// Datagrams among wardens.
     Gossip,
+    /// Datagrams among porters: load summaries.
+    Crier,
 }
 
 impl Settings {
@@ -86,8 +88,8 @@
         let &[from, to] = &ports[..] else {
             return Err(f.wrong("internal_port_range", "two ports are wanted"));
         };
-        if to > 65535 || from + 2 > to {
-            return Err(f.wrong("internal_port_range", "three ports are needed"));
+        if to > 65535 || from + 3 > to {
+            return Err(f.wrong("internal_port_range", "four ports are needed"));
         }
         let seeds = f.list("seed_nodes")?.iter().map(|s| {
             let at = s.as_str().and_then(|a| a.parse().ok());
@@ -162,6 +164,7 @@
             Port::Warden => 0,
             Port::Coffer => 1,
             Port::Gossip => 2,
+            Port::Crier => 3,
         };
         SocketAddr::new(ip, self.ports.0 + n)
     }
--- a/crates/porter/src/desk.rs
+++ b/crates/porter/src/desk.rs
@@ -87,8 +87,17 @@
         let mut stock = self.stock.borrow_mut();
         let cold = stock.thaw.is_cold(tgt, now);
         let go = stock.thaw.send(tgt, now);
+        if let Some(crier) = stock.crier.as_mut().filter(|_| go) {
+            crier.sent(tgt, now);
+        }
         Sent { go, entry: if cold { stock.closed(tgt, now) } else { None } }
     }
+
+    fn ended(&mut self, tgt: TgtId, outcome: Outcome, took: Duration, now: Duration) {
+        if let Some(crier) = &mut self.stock.borrow_mut().crier {
+            crier.ended(tgt, outcome, took, now);
+        }
+    }
 }
 
 impl Desks {
--- a/crates/porter/src/main.rs
+++ b/crates/porter/src/main.rs
@@ -16,9 +16,10 @@
 use damsonbeam_gateway::sizes::CONNECTION;
 use damsonbeam_gateway::stage::{Now, Stage};
 use damsonbeam_market::link::listen;
-use damsonbeam_market::note::{Note, Stand, ip};
-use damsonbeam_market::settings::Settings;
+use damsonbeam_market::note::{Note, Stand, addr, ip};
+use damsonbeam_market::settings::{Port, Settings};
 use damsonbeam_porter::chart::Chart;
+use damsonbeam_porter::crier::Crier;
 use damsonbeam_porter::desk::{Counted, Desks};
 use damsonbeam_porter::ledger::Ledger;
 use damsonbeam_porter::news::{self, Known, Word};
@@ -29,10 +30,10 @@
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use rand::Rng;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
@@ -82,21 +83,47 @@
     }
 }
 
-/// The platform's checks, and the account of what was not served for staff.
-async fn readiness(listener: TcpListener, now: Now, ledger: Rc<RefCell<Ledger>>, ahead: Rc<Cell<f64>>) {
+/// What staff may ask a proxy.
+#[derive(Clone)]
+struct Staff {
+    ledger: Rc<RefCell<Ledger>>,
+    stock: Rc<RefCell<Stock>>,
+    clock: Clock,
+    /// The common time less this process's, in seconds.
+    ahead: Rc<Cell<f64>>,
+}
+
+impl Staff {
+    /// The answer to a call, if it is one of staff's.
+    fn ask(&self, uri: &Uri) -> Option<String> {
+        match uri.path() {
+            "/-/loads" => {
+                let known = self.stock.borrow_mut().crier.as_mut().map(|c| c.show(self.clock.now()));
+                Some(known.unwrap_or_else(|| "{\"backends\":null}\n".into()))
+            }
+            "/-/account" => {
+                let one = uri.query().and_then(|q| q.strip_prefix("request="));
+                let ahead = Duration::try_from_secs_f64(self.ahead.get()).unwrap_or_default();
+                Some(self.ledger.borrow().show(one, ahead))
+            }
+            _ => None,
+        }
+    }
+}
+
+/// The platform's checks, and staff's calls.
+async fn readiness(listener: TcpListener, now: Now, staff: Staff) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(TICK).await;
             continue;
         };
-        let (now, ledger, ahead) = (now.clone(), ledger.clone(), ahead.clone());
+        let (now, staff) = (now.clone(), staff.clone());
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request: Request<Incoming>| {
                 let mut answer = Response::new(Full::<Bytes>::default());
-                if request.uri().path() == "/-/account" {
-                    let one = request.uri().query().and_then(|q| q.strip_prefix("request="));
-                    let ahead = Duration::try_from_secs_f64(ahead.get()).unwrap_or_default();
-                    *answer.body_mut() = ledger.borrow().show(one, ahead).into();
+                if let Some(told) = staff.ask(request.uri()) {
+                    *answer.body_mut() = told.into();
                 } else if !now.stage().serves() {
                     *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
                 }
@@ -109,15 +136,43 @@
     }
 }
 
-async fn run(settings: Settings) -> Result<(), String> {
+/// Datagrams of load summaries, in and out.
+async fn cry(socket: UdpSocket, stock: Rc<RefCell<Stock>>, desks: Rc<RefCell<Desks>>, clock: Clock) {
+    let port = socket.local_addr().map_or(0, |a| a.port());
+    let (mut buf, mut tick) = (vec![0; 4096], interval(TICK * 2));
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            Ok((n, from)) = socket.recv_from(&mut buf) => {
+                if let Some(crier) = &mut stock.borrow_mut().crier {
+                    crier.heard(ip(from.ip()), &buf[..n], clock.now());
+                }
+            }
+            _ = tick.tick() => {
+                let out = stock.borrow_mut().crier.as_mut().map_or(vec![], |c| c.rounds.tick(clock.now()));
+                for (to, bytes) in out {
+                    socket.send_to(&bytes, (addr(to), port)).await.ok();
+                }
+                let changed = stock.borrow_mut().crier.as_mut().is_some_and(|c| c.look(clock.now()));
+                if changed {
+                    desks.borrow().tell_all();
+                }
+            }
+        }
+    }
+}
+
+async fn run(settings: Settings, summaries: bool) -> Result<(), String> {
     let settings = Rc::new(settings);
     let node = settings.node.clone();
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
     let mut reload = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
     let now = Now::default();
     let (ledger, ahead) = (Rc::new(RefCell::new(Ledger::default())), Rc::new(Cell::new(0.0)));
-    let checks = listen(settings.listens("readiness")?)?;
-    tokio::task::spawn_local(readiness(checks, now.clone(), ledger.clone(), ahead.clone()));
+    let stock = Rc::new(RefCell::new(Stock::new(&settings.zone, &settings.region, settings.zones.clone())));
+    let clock = Clock::start();
+    let staff = Staff { ledger: ledger.clone(), stock: stock.clone(), clock, ahead: ahead.clone() };
+    tokio::task::spawn_local(readiness(listen(settings.listens("readiness")?)?, now.clone(), staff));
     let front = settings.listens("front")?;
     let stand = Stand {
         node: node.clone(),
@@ -127,11 +182,10 @@
         ready: false,
         term: 0,
     };
-    let known = Rc::new(RefCell::new(Known::new(&settings, stand)));
+    let known = Rc::new(RefCell::new(Known::new(&settings, stand, summaries)));
     let (to, mut words) = mpsc::channel(4096);
     tokio::task::spawn_local(news::run(settings.clone(), known.clone(), to));
 
-    let clock = Clock::start();
     let figures = Figures::new().map_err(|e| format!("figures: {e}"))?;
     let places = (settings.descriptors as usize).saturating_sub(RESERVE).max(64);
     let (most_clients, most_backends) = (places * 3 / 5, places * 2 / 5);
@@ -139,13 +193,20 @@
     let most_clients = most_clients.min(memory / 4 / CONNECTION);
     let bodies = memory / 6;
     let fleet = Fleet::new(CONNECT, IDLE, vec![], Box::new(Backends), most_backends, bodies, &figures);
-    let stock = Rc::new(RefCell::new(Stock::new(&settings.zone, &settings.region, settings.zones.clone())));
+    if summaries {
+        stock.borrow_mut().crier = Some(Crier::new(known.borrow().stand.life, rand::random()));
+    }
     let purse =
         Purse::new(settings.bound("retry_budget_ratio", 0.1), settings.bound("retry_budget_slack", 10.0));
     let purse = Rc::new(RefCell::new(purse));
     let (to_toll, mut calls) = mpsc::channel(4096);
     let desks = Desks::new(stock.clone(), purse.clone(), fleet, clock, figures.clone(), to_toll, CONNECT);
     let desks = Rc::new(RefCell::new(desks));
+    if summaries {
+        let socket = UdpSocket::bind(settings.inner(settings.ip, Port::Crier)).await;
+        let socket = socket.map_err(|e| format!("the port for load summaries: {e}"))?;
+        tokio::task::spawn_local(cry(socket, stock.clone(), desks.clone(), clock));
+    }
     let chart = Rc::new(RefCell::new(Rc::new(Chart::default())));
     let idle_s = Rc::new(Cell::new(0));
     let (for_requests, by_chart, idle) = (desks.clone(), chart.clone(), idle_s.clone());
@@ -267,6 +328,11 @@
                 stock.borrow_mut().thaw.share(porters);
             }
             Some(Word::Porters(_)) => {}
+            Some(Word::Few(near, far)) => {
+                if let Some(crier) = &mut stock.borrow_mut().crier {
+                    (crier.rounds.near, crier.rounds.far) = (near, far);
+                }
+            }
             Some(Word::Totals(totals)) => counts.toll.told(&totals, clock.now()),
             Some(Word::Clerk(linked)) => {
                 counts.toll.link(linked, false);
@@ -287,5 +353,8 @@
 
 fn main() -> ExitCode {
     let about = "One porter: the proxy of the system. Configured by DAMSONBEAM_CONFIG.";
-    damsonbeam_market::program("porter", about, run)
+    let summaries = bpaf::long("load-summaries")
+        .help("Tell other proxies how busy each backend is, and choose by what they tell")
+        .switch();
+    damsonbeam_market::program_with("porter", about, summaries, run)
 }
--- a/crates/porter/src/news.rs
+++ b/crates/porter/src/news.rs
@@ -38,6 +38,8 @@
     Totals(Vec<(String, f64, f64)>),
     /// There is a way to the clerk, or none.
     Clerk(bool),
+    /// Others to exchange load summaries with: of this region, and of others.
+    Few(Vec<Ip>, Vec<Ip>),
 }
 
 /// What is known from the wardens.
@@ -54,10 +56,12 @@
     /// Wardens that are near: their connections came up quickly.
     home: BTreeSet<Ip>,
     clerk: Option<(Ip, u64)>,
+    /// Whether partners for load summaries are wanted.
+    summaries: bool,
 }
 
 impl Known {
-    pub fn new(settings: &Settings, stand: Stand) -> Self {
+    pub fn new(settings: &Settings, stand: Stand, summaries: bool) -> Self {
         let seeds: BTreeSet<Ip> = settings.seed_ips().into_iter().map(ip).collect();
         let now = Instant::now();
         Known {
@@ -70,6 +74,7 @@
             links: BTreeMap::new(),
             home: BTreeSet::new(),
             clerk: None,
+            summaries,
         }
     }
 
@@ -153,6 +158,9 @@
                 let mut k = known.borrow_mut();
                 let time_ms = k.time.map(|(at, ms, _)| ms + at.elapsed().as_millis() as u64);
                 out.send(&Note::Stand { stand: k.stand.clone(), time_ms });
+                if k.summaries {
+                    out.send(&Note::Partners);
+                }
                 k.links.insert(warden, out.clone());
                 if near {
                     k.home.insert(warden);
@@ -224,6 +232,7 @@
                 Some(Word::List(list.servers))
             }
             Note::Totals(totals) => Some(Word::Totals(totals)),
+            Note::Few { near, far } => Some(Word::Few(near, far)),
             _ => None,
         }
     }
--- a/crates/porter/src/stock.rs
+++ b/crates/porter/src/stock.rs
@@ -9,6 +9,7 @@
 use damsonbeam_market::note::{Server, addr};
 
 use crate::chart::{Chart, Homes};
+use crate::crier::Crier;
 use crate::thaw::Thaw;
 
 /// How much a backend counts by where it is: the way between regions takes longer than most work and is paid for;
@@ -40,6 +41,8 @@
     evacuated: Vec<String>,
     /// This proxy's place among the ready ones of its region, and their number.
     pub place: (u32, u32),
+    /// What all proxies tell each other of the backends, where they do.
+    pub crier: Option<Crier>,
 }
 
 /// A backend and what the module is told of it.
@@ -69,6 +72,9 @@
             self.thaw.learn(tgt, Duration::from_millis(s.cold_ms), rate, lot(), now);
         }
         self.thaw.forget(now);
+        if let Some(crier) = &mut self.crier {
+            crier.take(&self.servers, &self.ids);
+        }
     }
 
     /// Zones that are to get nothing; one taken back is cold until the list has had time to tell.
@@ -123,6 +129,8 @@
             () if s.zone == self.zone => ZONE,
             () => NEAR,
         };
+        let told = self.crier.as_ref().map_or(1.0, |c| c.factor(&s.service, &s.id));
+        let weight = weight * told;
         let zone = self.zones.keys().position(|z| *z == s.zone).unwrap_or(self.zones.len()) as u32;
         let health = if shut { Health::Draining } else { Health::Up };
         let entry = Entry { tgt, health, since: Duration::ZERO, kind: 0, zone, cell: 0, weight };
--- a/crates/warden/src/guide.rs
+++ b/crates/warden/src/guide.rs
@@ -7,6 +7,10 @@
 /// Fewer ready proxies in the client's region than this, and those of other regions are named too.
 const FEW: usize = 2;
 
+/// Partners for load summaries named at a time: more than a round has, so that a lost one is not missed.
+const PARTNERS: usize = 5;
+const FAR_PARTNERS: usize = 2;
+
 /// A proxy as it said it stands.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Post {
@@ -31,6 +35,28 @@
     all.into_iter().map(|p| p.front).collect()
 }
 
+/// With whom a proxy exchanges load summaries: a few of its region and of others, other ones by turns.
+pub fn partners(
+    posts: &[Post],
+    me: SocketAddr,
+    region: &str,
+    turn: u32,
+) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    let some = |same: bool, few: usize| {
+        let fit = posts.iter().filter(|p| p.ready && p.front != me && (p.region == region) == same);
+        let mut all: Vec<SocketAddr> = fit.map(|p| p.front).collect();
+        // Each begins elsewhere: were all told of the same few, those alone would hear.
+        let from =
+            u32::from(me.port()) ^ if let std::net::IpAddr::V4(v4) = me.ip() { v4.to_bits() } else { 0 };
+        let turn = from.wrapping_mul(0x9e37_79b9).wrapping_add(turn.wrapping_mul(few as u32)) as usize;
+        let len = all.len().max(1);
+        all.rotate_left(turn % len);
+        all.truncate(few);
+        all
+    };
+    (some(true, PARTNERS), some(false, FAR_PARTNERS))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -40,6 +66,24 @@
         Post { front, zone: format!("{region}-a"), region: region.into(), ready }
     }
 
+    #[test]
+    fn partners_are_few_and_by_turns_all() {
+        let all: Vec<Post> = (1..30).map(|n| post(n, if n < 20 { "x" } else { "y" }, n != 7)).collect();
+        let met = |n: u8| {
+            let (mut near, mut far) = (std::collections::BTreeSet::new(), std::collections::BTreeSet::new());
+            for turn in 0..20 {
+                let (a, b) = partners(&all, all[n as usize - 1].front, "x", turn);
+                assert!(a.len() <= PARTNERS && b.len() <= FAR_PARTNERS);
+                near.extend(a);
+                far.extend(b);
+            }
+            (near.len(), far.len())
+        };
+        assert_eq!((met(1), met(2)), ((17, 10), (17, 10)), "all ready ones but itself");
+        let first = |n: usize| partners(&all, all[n].front, "x", 0).0;
+        assert!((0..6).any(|n| first(n) != first(0)), "all are told of the same few");
+    }
+
     #[test]
     fn the_region_first_and_others_where_it_is_nearly_gone() {
         let all = [post(1, "x", true), post(2, "x", true), post(3, "y", true), post(4, "x", false)];
--- a/crates/warden/src/main.rs
+++ b/crates/warden/src/main.rs
@@ -65,6 +65,8 @@
     last: Duration,
     no: u64,
     acked: u64,
+    /// It exchanges load summaries with others.
+    tells_loads: bool,
 }
 
 struct Warden {
@@ -217,6 +219,8 @@
             list: (self.shelf.term, self.shelf.reading),
         };
         self.beats += 1;
+        let posts = self.posts();
+        let ips = |all: &[SocketAddr]| all.iter().map(|a| ip(a.ip())).collect::<Vec<Ip>>();
         for p in self.porters.values() {
             if !self.tells(&p.stand) && !self.beats.is_multiple_of(FAR_BEATS) {
                 continue;
@@ -226,6 +230,10 @@
             let (near, place) =
                 (home.clone().count() as u32, home.take_while(|r| r.1 < p.stand.node).count() as u32);
             p.out.send(&Note::Beat(Beat { near, place, ..beat.clone() }));
+            if p.tells_loads {
+                let (near, far) = guide::partners(&posts, p.stand.front(), &region, self.beats);
+                p.out.send(&Note::Few { near: ips(&near), far: ips(&far) });
+            }
         }
     }
 
@@ -289,6 +297,7 @@
                     last: now,
                     no: 0,
                     acked: 0,
+                    tells_loads: false,
                 });
                 (p.stand, p.last) = (stand, now);
                 if fresh {
@@ -303,6 +312,7 @@
             Note::Holds(holds) => self.holds(link, holds),
             Note::Pull => self.all_items(link),
             Note::PullList => self.list_to(Some(link)),
+            Note::Partners => self.porters.get_mut(&link).into_iter().for_each(|p| p.tells_loads = true),
             Note::Heard { no } => {
                 if let Some(p) = self.porters.get_mut(&link) {
                     p.acked = p.acked.max(no);
