Copies of a chosen share of live requests to trial services, the same callers at every proxy

Rules are items like the rest (PATCH and GET /-/copies), checked beside the configuration and never a reason to refuse an operator's. Copies go on connections of their own, from what is here when the real request is taken; a trial address is a type of its own and is not gone to while a real backend has it; the client's key is dropped, ids are their own, no quota, repeat or count is touched.

Whole system on loopback: 24 tenants through two proxies, equal sets, a superset at a larger share, a dead trial service and one at a real backend's address: each real request ran once, none was a copy.

--- a/crates/beadle/tests/whole/main.rs
+++ b/crates/beadle/tests/whole/main.rs
@@ -207,3 +207,113 @@
         street.until("all serve", |_| edges.iter().all(|e| get(*e, "/x/", "").status() == 200));
     }
 }
+
+/// A request with that id through one proxy by a tenant.
+fn by_tenant(at: SocketAddr, id: &str, tenant: usize) -> u16 {
+    let head = format!(
+        "GET /x/{tenant} HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 3000\r\n"
+    );
+    ask(at, &format!("{head}Authorization: Bearer key-{tenant}\r\n\r\n")).status()
+}
+
+fn copy_rule(version: u32, share: f64, at: SocketAddr, more: &str) -> String {
+    format!(
+        r#"{{"upserts":{{"copy_list":[{{"name":"m","service":"s","trial_service":"trial","share":{share},"config_version":"r{version}","instances":[{{"id":"x-1","address":"{at}","region":"east"}}]{more}}}]}}}}"#
+    )
+}
+
+/// A busy morning: both proxies copy the same callers, and whole; the real records are as they would be without.
+#[test]
+fn every_proxy_copies_the_same_callers_and_nothing_real_changes() {
+    const TENANTS: usize = 24;
+    let servers =
+        [Server::start("i-1", "s", "a"), Server::start("i-2", "s", "b"), Server::start("i-3", "t", "a")];
+    let trial = Server::start("x-1", "trial", "a");
+    let mut street = Street::new(two_regions(), &servers);
+    street.start(true, |_| true);
+    let tenant = |n| {
+        format!(
+            r#"{{"name":"house-{n}","api_keys":["key-{n}"],"priority":1,"rate_per_s":0,"burst":0,"serving_regions":[],"config_version":"r1"}}"#
+        )
+    };
+    let tenants: Vec<String> = (0..TENANTS).map(tenant).collect();
+    let call = first(&[route("r-1", "/x/", "s", 1, "")], &tenants.join(","));
+    assert_eq!(street.order("PATCH /-/configuration", &call).status(), 200);
+    let edges = street.edges();
+    street.until("all serve", |_| edges.iter().all(|e| by_tenant(*e, "up", 0) == 200));
+    for (wrong, says) in
+        [(r#","kinds":["mutating"]"#, "a second time"), (r#","from_ms":5,"until_ms":4"#, "until_ms")]
+    {
+        let refused = street.order("PATCH /-/copies", &copy_rule(1, 0.5, trial.at, wrong));
+        assert_eq!(refused.status(), 400);
+        assert!(String::from_utf8_lossy(&refused.body).contains(says), "{refused:?}");
+    }
+
+    // Rounds of all tenants through both proxies, until each proxy has copied as many callers as ever.
+    let (mut sent, mut round) = (0, 0);
+    let mut copied =
+        |street: &mut Street,
+         what: &str,
+         enough: &dyn Fn(&[std::collections::BTreeSet<String>; 2]) -> bool| {
+            let mut sets: [std::collections::BTreeSet<String>; 2] = Default::default();
+            street.until(what, |_| {
+                round += 1;
+                trial.ran.lock().expect("whole").clear();
+                for (e, edge) in edges.iter().enumerate() {
+                    for tenant in 0..TENANTS {
+                        assert_eq!(by_tenant(*edge, &format!("e{e}-{round}-{tenant}"), tenant), 200);
+                        sent += 1;
+                    }
+                }
+                for copy in trial.ran.lock().expect("whole").iter() {
+                    assert!(copy.header("x-request-id").is_some_and(|i| i.starts_with("copy-")), "{copy:?}");
+                    assert!(
+                        copy.header("authorization").is_none() && copy.header("x-copy-rule").is_some(),
+                        "{copy:?}"
+                    );
+                    let of = copy.header("x-copy-of").expect("whose copy");
+                    let name = copy.header("x-tenant-name").expect("a tenant").to_string();
+                    sets[usize::from(of.starts_with("e1"))].insert(name);
+                }
+                enough(&sets)
+            });
+            sets
+        };
+    assert_eq!(street.order("PATCH /-/copies", &copy_rule(1, 0.5, trial.at, "")).status(), 200);
+    let same = |s: &[std::collections::BTreeSet<String>; 2]| !s[0].is_empty() && s[0] == s[1];
+    let [half, _] = copied(&mut street, "both copy the same callers", &same);
+    assert!((4..=20).contains(&half.len()), "{half:?}");
+    let shown = street.order("GET /-/copies", "");
+    assert!(String::from_utf8_lossy(&shown.body).contains("\"trial_service\":\"trial\""), "{shown:?}");
+    let all = street.order("GET /-/configuration", "");
+    assert!(
+        !String::from_utf8_lossy(&all.body).contains("trial"),
+        "rules are no part of the operators' form"
+    );
+
+    // The share grows: whoever was in stays in. Then it falls to nobody.
+    assert_eq!(street.order("PATCH /-/copies", &copy_rule(2, 0.9, trial.at, "")).status(), 200);
+    let grown = |s: &[std::collections::BTreeSet<String>; 2]| s[0].len() > half.len() && s[0] == s[1];
+    let [more, _] = copied(&mut street, "the share has grown", &grown);
+    assert!(more.is_superset(&half), "{half:?} {more:?}");
+    // A trial service that is dead, and one that has a real backend's address: nothing real hears of it.
+    let dead = SocketAddr::from(([127, 0, 0, 1], 1));
+    for (version, at) in [(3, dead), (4, servers[0].at)] {
+        assert_eq!(street.order("PATCH /-/copies", &copy_rule(version, 1.0, at, "")).status(), 200);
+        let says = format!("\"version\":{version},\"copied\":");
+        let proxies: Vec<SocketAddr> =
+            street.machines.iter().filter(|m| !m.core).map(|m| m.at(READY)).collect();
+        street.until("the rule is known", |_| {
+            edges.iter().for_each(|e| assert_eq!(by_tenant(*e, "probe", 1), 200));
+            proxies
+                .iter()
+                .all(|p| String::from_utf8_lossy(&street::call(*p, "GET /-/copies", "").body).contains(&says))
+        });
+    }
+    let real: Vec<Message> = servers.iter().flat_map(|s| s.ran.lock().expect("whole").clone()).collect();
+    let ids: Vec<&str> = real.iter().filter_map(|r| r.header("x-request-id")).collect();
+    assert!(ids.iter().all(|i| !i.starts_with("copy-")), "a copy reached a real backend");
+    let told = ids.iter().filter(|i| i.starts_with('e')).count();
+    assert_eq!(told, sent, "each real request ran once, copied or not");
+    assert!(real.iter().all(|r| r.header("x-copy-rule").is_none()));
+}
--- a/crates/coffer/src/agree.rs
+++ b/crates/coffer/src/agree.rs
@@ -551,7 +551,8 @@
             for item in book.news(change) {
                 next.merge(Item { ballot, ..item });
             }
-            match next.check() {
+            let copies = change.items.iter().any(|i| i.key.kind == Kind::Copy);
+            match next.check().and_then(|()| if copies { next.check_copies() } else { Ok(()) }) {
                 Ok(()) => (Some(next), Reply::Done),
                 Err(e) => (None, e.into()),
             }
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -213,6 +213,8 @@
     /// # Errors
     /// The answer.
     fn decode(&self, inv: InvId, head: &Parts) -> Result<Decoded, Turned>;
+    /// A request that was read is whole, or comes, and goes to its module now.
+    fn taken(&self, _: &Ask, _: &mut About) {}
     /// The answer to the request of that name, and what was said of it when it was read.
     fn encode(&self, name: &str, about: About, answer: Answer) -> Reply200;
 }
@@ -555,7 +557,7 @@
     async fn invoke(&self, conn: &Conn, request: Request<Incoming>) -> Result<Reply200, Turned> {
         let (head, body) = request.into_parts();
         let inv = InvId(self.next.replace(self.next.get() + 1));
-        let Decoded { mut told, name, about, left, headers, to } = self.front.decode(inv, &head)?;
+        let Decoded { mut told, name, mut about, left, headers, to } = self.front.decode(inv, &head)?;
         let body = self.body(conn, &head.method, body, told.inv, left, &to).await.map_err(turned)?;
         told.coming = body.coming().is_some();
         // Its client's time runs from its last byte.
@@ -572,6 +574,7 @@
         conn.turn(Stand::Held, Duration::ZERO);
         let coming = body.coming().cloned();
         let ask = Rc::new(Ask { method: head.method, uri: head.uri, headers, body });
+        self.front.taken(&ask, &mut about);
         let (answer, answered) = oneshot::channel();
         if to.send(ToModule::Invocation { told, left, ask, answer }).await.is_err() {
             held.answered = true;
--- a/crates/market/src/items.rs
+++ b/crates/market/src/items.rs
@@ -15,12 +15,17 @@
     Limits,
     /// A zone that is to get nothing: dropped while it may.
     Evacuation,
+    /// A rule for copies of live requests to a trial service (`copies.rs`).
+    Copy,
 }
 
 /// Lists of a call, and the kind of their items.
 const LISTS: [(&str, Kind); 3] =
     [("route_list", Kind::Route), ("tenant_list", Kind::Tenant), ("service_list", Kind::Service)];
 
+/// Lists of a call of staff's.
+const COPIES: [(&str, Kind); 1] = [("copy_list", Kind::Copy)];
+
 /// By what an item is told from all others.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
 pub struct Key {
@@ -70,6 +75,18 @@
     /// # Errors
     /// Where any part of it can't be read.
     pub fn read(body: Vec<u8>) -> Result<Self, Invalid> {
+        Self::read_lists(body, &LISTS)
+    }
+
+    /// Reads the body of a call that sets or drops rules for copies.
+    ///
+    /// # Errors
+    /// Where any part of it can't be read.
+    pub fn read_copies(body: Vec<u8>) -> Result<Self, Invalid> {
+        Self::read_lists(body, &COPIES)
+    }
+
+    fn read_lists(body: Vec<u8>, lists: &[(&str, Kind)]) -> Result<Self, Invalid> {
         let all = parse(body).map_err(Invalid::Unreadable)?;
         if !all.is_object() {
             return Err(Invalid::Unreadable("not an object".into()));
@@ -78,11 +95,11 @@
         if let Some(set) = all.get("upserts") {
             let set = set.as_object().ok_or_else(|| Invalid::Unreadable("upserts: not an object".into()))?;
             for (list, v) in set.iter() {
-                if list == "limits" {
+                if list == "limits" && lists == LISTS {
                     items.push(Self::item(Kind::Limits, v, false)?);
                     continue;
                 }
-                let (kind, all) = Self::list(list, v)?;
+                let (kind, all) = Self::list(list, v, lists)?;
                 for v in all {
                     items.push(Self::item(kind, v, false)?);
                 }
@@ -92,7 +109,7 @@
             let drop =
                 drop.as_object().ok_or_else(|| Invalid::Unreadable("removals: not an object".into()))?;
             for (list, v) in drop.iter() {
-                let (kind, all) = Self::list(list, v)?;
+                let (kind, all) = Self::list(list, v, lists)?;
                 for v in all {
                     items.push(Self::item(kind, v, true)?);
                 }
@@ -101,8 +118,8 @@
         Ok(Change { items })
     }
 
-    fn list<'a>(name: &str, v: &'a Value) -> Result<(Kind, &'a Vec<Value>), Invalid> {
-        let kind = LISTS.iter().find(|l| l.0 == name).map(|l| l.1);
+    fn list<'a>(name: &str, v: &'a Value, lists: &[(&str, Kind)]) -> Result<(Kind, &'a Vec<Value>), Invalid> {
+        let kind = lists.iter().find(|l| l.0 == name).map(|l| l.1);
         let kind = kind.ok_or_else(|| Invalid::Unreadable(format!("{name}: no such list")))?;
         Ok((kind, v.as_array().ok_or_else(|| Invalid::Unreadable(format!("{name}: not a list")))?))
     }
@@ -245,10 +262,19 @@
         Ok(())
     }
 
-    /// All items that stand, laid out as in the first call's set.
+    /// All rules for copies, laid out as in a call that sets them.
+    pub fn show_copies(&self) -> Vec<u8> {
+        self.show_lists(&COPIES)
+    }
+
+    /// All items of the operators' configuration that stand, laid out as in the first call's set.
     pub fn show(&self) -> Vec<u8> {
+        self.show_lists(&LISTS)
+    }
+
+    fn show_lists(&self, lists: &[(&str, Kind)]) -> Vec<u8> {
         let mut out = Vec::from(b"{");
-        for (n, (list, kind)) in LISTS.into_iter().enumerate() {
+        for (n, (list, kind)) in lists.iter().copied().enumerate() {
             let bodies: Vec<&[u8]> = self.standing(kind).filter_map(|i| i.body.as_deref()).collect();
             out.extend_from_slice(if n > 0 { b",\"" } else { b"\"" });
             out.extend_from_slice(list.as_bytes());
@@ -256,7 +282,8 @@
             out.extend_from_slice(&bodies.join(&b","[..]));
             out.push(b']');
         }
-        if let Some(limits) = self.standing(Kind::Limits).find_map(|i| i.body.as_deref()) {
+        let limits = self.standing(Kind::Limits).find_map(|i| i.body.as_deref());
+        if let Some(limits) = limits.filter(|_| lists == LISTS) {
             out.extend_from_slice(b",\"limits\":");
             out.extend_from_slice(limits);
         }
--- a/crates/market/src/lib.rs
+++ b/crates/market/src/lib.rs
@@ -3,6 +3,7 @@
 //! file; `link` alone touches sockets.
 
 pub mod claim;
+pub mod copies;
 pub mod items;
 pub mod link;
 pub mod members;
--- a/crates/porter/src/chart.rs
+++ b/crates/porter/src/chart.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 
+use damsonbeam_market::copies::Rule;
 use damsonbeam_market::items::{Book, Kind, Limits, Route, Service, Tenant};
 
 #[derive(Clone, Debug, Default)]
@@ -14,6 +15,8 @@
     pub services: HashMap<String, Service>,
     pub evacuated: BTreeSet<String>,
     pub limits: Option<Limits>,
+    /// Rules for copies whose trial services are none of the real ones.
+    pub copies: Vec<Rule>,
 }
 
 /// Why a request gets no further.
@@ -42,6 +45,8 @@
         chart.services = services.map(|s| (s.name.clone(), s)).collect();
         chart.evacuated = book.standing(Kind::Evacuation).map(|i| i.key.name.clone()).collect();
         chart.limits = book.standing(Kind::Limits).find_map(|i| Limits::read(i).ok());
+        let copies = book.standing(Kind::Copy).filter_map(|i| Rule::read(i).ok());
+        chart.copies = copies.filter(|c| !chart.services.contains_key(&c.trial)).collect();
         chart
     }
 
--- a/crates/porter/src/desk.rs
+++ b/crates/porter/src/desk.rs
@@ -14,7 +14,6 @@
 use damsonbeam_gateway::mail::{Listed, ToCounter, ToModule};
 use damsonbeam_gateway::module::{Guard, Module, Sent, State};
 use damsonbeam_market::items::{Route, RouteKind};
-use rand::Rng;
 use tokio::sync::mpsc;
 
 use crate::chart::{Chart, Homes};
@@ -114,10 +113,14 @@
         Desks { stock, purse, fleet, clock, figures, toll, connect_timeout, near, place, plans, all }
     }
 
-    /// The module for a request on that route, and its operation there.
+    /// The module for a request on that route to that service, and its operation there.
     /// None where there is no backend that may serve it.
-    pub fn desk(&mut self, route: &Route, homes: &Homes) -> Option<(mpsc::Sender<ToModule>, OpId)> {
-        let service = Chart::service(route, rand::rng().random()).to_owned();
+    pub fn desk(
+        &mut self,
+        route: &Route,
+        service: String,
+        homes: &Homes,
+    ) -> Option<(mpsc::Sender<ToModule>, OpId)> {
         if !self.stock.borrow().has(&service, homes) {
             return None;
         }
--- a/crates/porter/src/lib.rs
+++ b/crates/porter/src/lib.rs
@@ -3,6 +3,7 @@
 //! `speech` is the protocol, `desk` feeds the decision module, `news` holds the links to the wardens.
 
 pub mod chart;
+pub mod copies;
 pub mod crier;
 pub mod desk;
 pub mod ledger;
--- a/crates/porter/src/main.rs
+++ b/crates/porter/src/main.rs
@@ -19,6 +19,7 @@
 use damsonbeam_market::note::{Note, Stand, addr, ip};
 use damsonbeam_market::settings::{Port, Settings};
 use damsonbeam_porter::chart::Chart;
+use damsonbeam_porter::copies::Copies;
 use damsonbeam_porter::crier::Crier;
 use damsonbeam_porter::desk::{Counted, Desks};
 use damsonbeam_porter::ledger::Ledger;
@@ -88,6 +89,7 @@
 struct Staff {
     ledger: Rc<RefCell<Ledger>>,
     stock: Rc<RefCell<Stock>>,
+    copies: Rc<Copies>,
     clock: Clock,
     /// The common time less this process's, in seconds.
     ahead: Rc<Cell<f64>>,
@@ -101,6 +103,7 @@
                 let known = self.stock.borrow_mut().crier.as_mut().map(|c| c.show(self.clock.now()));
                 Some(known.unwrap_or_else(|| "{\"backends\":null}\n".into()))
             }
+            "/-/copies" => Some(self.copies.show()),
             "/-/account" => {
                 let one = uri.query().and_then(|q| q.strip_prefix("request="));
                 let ahead = Duration::try_from_secs_f64(self.ahead.get()).unwrap_or_default();
@@ -171,7 +174,14 @@
     let (ledger, ahead) = (Rc::new(RefCell::new(Ledger::default())), Rc::new(Cell::new(0.0)));
     let stock = Rc::new(RefCell::new(Stock::new(&settings.zone, &settings.region, settings.zones.clone())));
     let clock = Clock::start();
-    let staff = Staff { ledger: ledger.clone(), stock: stock.clone(), clock, ahead: ahead.clone() };
+    let copies = Copies::new(clock, ahead.clone());
+    let staff = Staff {
+        ledger: ledger.clone(),
+        stock: stock.clone(),
+        copies: copies.clone(),
+        clock,
+        ahead: ahead.clone(),
+    };
     tokio::task::spawn_local(readiness(listen(settings.listens("readiness")?)?, now.clone(), staff));
     let front = settings.listens("front")?;
     let stand = Stand {
@@ -210,8 +220,14 @@
     let chart = Rc::new(RefCell::new(Rc::new(Chart::default())));
     let idle_s = Rc::new(Cell::new(0));
     let (for_requests, by_chart, idle) = (desks.clone(), chart.clone(), idle_s.clone());
-    let requests =
-        Requests { desks: for_requests, chart: by_chart, idle_s: idle, ledger: ledger.clone(), clock };
+    let requests = Requests {
+        desks: for_requests,
+        chart: by_chart,
+        idle_s: idle,
+        ledger: ledger.clone(),
+        copies: copies.clone(),
+        clock,
+    };
     let clients =
         Rc::new(Clients::new(Rc::new(requests), most_clients, bodies, clock, now.clone(), &figures));
     let mut counts = Counts { toll: Toll::new(rand::random()), clock, known: known.clone() };
@@ -234,7 +250,8 @@
                         counts.call(call);
                     }
                 }
-                _ = tick.tick() => {
+                at = tick.tick() => {
+                    copies.late(at.elapsed());
                     counts.flush();
                     if let Some(line) = ledger.borrow_mut().line(clock.now()) {
                         log::info!("account: {line}");
@@ -289,6 +306,7 @@
                 stock.borrow_mut().evacuate(&new, clock.now(), &mut lot);
                 *chart.borrow_mut() = new.clone();
                 desks.borrow_mut().follow(&new);
+                copies.follow(new.copies.clone());
                 for (tenant, rate, slot) in desks.borrow().slots() {
                     counts.toll.limit(&tenant, rate, slot);
                 }
@@ -304,6 +322,7 @@
             Some(Word::Beat(beat)) => {
                 if beat.porters > 0 {
                     let porters = counts.toll.share(beat.porters, beat.attached, clock.now());
+                    copies.proxies.set(porters);
                     purse.borrow_mut().share(porters);
                     stock.borrow_mut().thaw.share(porters);
                     stock.borrow_mut().place = (beat.place, beat.near);
--- a/crates/porter/src/speech.rs
+++ b/crates/porter/src/speech.rs
@@ -12,12 +12,14 @@
 use damsonbeam_gateway::clients::{About, Decoded, Front, Reply200, Turned, plain, turned};
 use damsonbeam_gateway::clock::Clock;
 use damsonbeam_gateway::front::one;
-use damsonbeam_gateway::mail::Answer;
+use damsonbeam_gateway::mail::{Answer, Ask};
 use hyper::header::{AUTHORIZATION, HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode, Uri};
+use rand::Rng;
 
 use crate::chart::{Chart, Stop};
+use crate::copies::{self, Chosen, Ticket};
 use crate::desk::Desks;
 use crate::ledger::{Cause, Ledger, Subject};
 
@@ -40,9 +42,19 @@
     /// Seconds for which an idle connection is kept, told to clients.
     pub idle_s: Rc<Cell<u64>>,
     pub ledger: Rc<RefCell<Ledger>>,
+    pub copies: copies::Shared,
     pub clock: Clock,
 }
 
+/// What is kept of a request until its answer.
+#[derive(Default)]
+struct Kept {
+    subject: Subject,
+    /// By which rules it is to be copied, until it is taken; the copies, from then on.
+    chosen: Vec<Chosen>,
+    tickets: Vec<Ticket>,
+}
+
 impl Requests {
     fn note(&self, name: &str, cause: Cause, ran: bool, subject: &Subject) {
         self.ledger.borrow_mut().note(name, cause, ran, subject, self.clock.now());
@@ -89,8 +101,11 @@
         })?;
         let subject = Subject { route: Some(route.clone()), tenant: tenant.cloned() };
         let homes = Chart::homes(route, tenant.map(|t| &**t));
+        let service = Chart::service(route, rand::rng().random()).to_owned();
+        let whose = tenant.map_or("", |t| &t.name);
+        let chosen = self.copies.choose(&service, route.kind, whose, key.unwrap_or_default());
         let mut desks = self.desks.borrow_mut();
-        let Some((to, op)) = desks.desk(route, &homes) else {
+        let Some((to, op)) = desks.desk(route, service, &homes) else {
             // Nowhere may it be served: homes that have nothing in common, or a service without backends.
             self.note(name, Cause::Nowhere, false, &subject);
             return Err(Box::new(later(StatusCode::SERVICE_UNAVAILABLE, Some(Duration::from_secs(1)))));
@@ -116,11 +131,23 @@
             out.insert(&TENANT, value);
         }
         let left = Duration::from_millis(left.min(route.timeout_ms));
-        Ok(Decoded { told, name: name.to_owned(), about: Some(Box::new(subject)), left, headers: out, to })
+        let kept = Kept { subject, chosen, tickets: vec![] };
+        Ok(Decoded { told, name: name.to_owned(), about: Some(Box::new(kept)), left, headers: out, to })
+    }
+
+    fn taken(&self, ask: &Ask, about: &mut About) {
+        let Some(kept) = about.as_mut().and_then(|a| a.downcast_mut::<Kept>()) else { return };
+        if let Some(route) = kept.subject.route.as_ref().filter(|_| !kept.chosen.is_empty()) {
+            let homes = Chart::homes(route, kept.subject.tenant.as_deref());
+            let stock = self.desks.borrow().stock.clone();
+            let is_real = |at| stock.borrow().is_real(at);
+            kept.tickets = self.copies.take(std::mem::take(&mut kept.chosen), ask, &homes, &is_real);
+        }
     }
 
     fn encode(&self, name: &str, about: About, answer: Answer) -> Reply200 {
-        let subject = about.and_then(|a| a.downcast::<Subject>().ok()).unwrap_or_default();
+        let Kept { subject, tickets, .. } =
+            about.and_then(|a| a.downcast::<Kept>().ok()).map(|k| *k).unwrap_or_default();
         match &answer {
             Answer::Throttled { why, clean, .. } => self.note(name, Cause::away(*why), !clean, &subject),
             Answer::Errored => self.note(name, Cause::Failed, true, &subject),
@@ -141,6 +168,7 @@
             Answer::Throttled { clean: false, why: Why::Time, .. } => plain(StatusCode::GATEWAY_TIMEOUT),
             Answer::Throttled { .. } | Answer::Errored => plain(StatusCode::BAD_GATEWAY),
         };
+        tickets.iter().for_each(|t| t.real(&out, self.clock.now()));
         let idle = self.idle_s.get();
         if idle > 0
             && let Ok(value) = HeaderValue::from_str(&format!("timeout={idle}"))
--- a/crates/porter/src/stock.rs
+++ b/crates/porter/src/stock.rs
@@ -88,6 +88,11 @@
         self.evacuated = chart.evacuated.iter().cloned().collect();
     }
 
+    /// Whether a real backend has that address now.
+    pub fn is_real(&self, at: SocketAddr) -> bool {
+        self.servers.iter().any(|s| SocketAddr::new(addr(s.at.0), s.at.1) == at)
+    }
+
     fn region_of(&self, zone: &str) -> &str {
         self.zones.get(zone).map_or("", |r| r)
     }
--- a/crates/warden/src/calls.rs
+++ b/crates/warden/src/calls.rs
@@ -15,6 +15,9 @@
         zone: String,
         on: bool,
     },
+    /// Rules for copies, set and read by staff.
+    ChangeCopies,
+    ReadCopies,
     /// How the system stands, for staff.
     State,
 }
@@ -49,6 +52,10 @@
                 })],
             ),
             Part("state", vec![Leaf("GET", |_, _| Call::State)]),
+            Part(
+                "copies",
+                vec![Leaf("PATCH", |_, _| Call::ChangeCopies), Leaf("GET", |_, _| Call::ReadCopies)],
+            ),
             Part("configuration", vec![Leaf("PATCH", |_, _| Call::Change), Leaf("GET", |_, _| Call::Read)]),
             Part(
                 "evacuations",
--- a/crates/warden/src/main.rs
+++ b/crates/warden/src/main.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use damsonbeam_market::claim::{Claims, Vote};
-use damsonbeam_market::items::{Book, Change, Kind, Tenant};
+use damsonbeam_market::items::{Book, Change, Invalid, Kind, Tenant};
 use damsonbeam_market::link::{self, Out};
 use damsonbeam_market::members::Members;
 use damsonbeam_market::note::{
@@ -569,7 +569,7 @@
     answer(status, format!("{{\"error\":\"{why}\"}}"))
 }
 
-async fn order(warden: &Shared, order: Order) -> Answer {
+async fn order(warden: &Shared, order: Order, show: fn(&Book) -> Vec<u8>) -> Answer {
     let asked = warden.borrow_mut().ask(order);
     let Some(reply) = asked else {
         return error(StatusCode::SERVICE_UNAVAILABLE, "the store is not reached");
@@ -578,10 +578,10 @@
         Ok(Ok(Reply::Done)) => answer(StatusCode::OK, "{}"),
         Ok(Ok(Reply::Book(items))) => {
             let mut book = Book::default();
-            items.into_iter().filter(|i| i.key.kind != Kind::Evacuation).for_each(|i| {
+            items.into_iter().for_each(|i| {
                 book.merge(i);
             });
-            answer(StatusCode::OK, book.show())
+            answer(StatusCode::OK, show(&book))
         }
         Ok(Ok(Reply::Invalid(why))) => {
             log::info!("operator: a call is turned down: {why}.");
@@ -592,6 +592,20 @@
     }
 }
 
+async fn change(
+    warden: &Shared,
+    request: Request<Incoming>,
+    read: fn(Vec<u8>) -> Result<Change, Invalid>,
+) -> Answer {
+    match Limited::new(request.into_body(), CALL).collect().await {
+        Err(_) => error(StatusCode::BAD_REQUEST, "the body breaks off, or is too large"),
+        Ok(body) => match read(body.to_bytes().to_vec()) {
+            Ok(change) => order(warden, Order::Change(change), Book::show).await,
+            Err(e) => error(StatusCode::BAD_REQUEST, &e.to_string()),
+        },
+    }
+}
+
 async fn call(warden: Shared, request: Request<Incoming>) -> Result<Answer, Infallible> {
     let uri = request.uri().clone();
     Ok(match calls::read(request.method().as_str(), uri.path(), uri.query()) {
@@ -609,21 +623,17 @@
             }
         }
         Ok(Call::State) => answer(StatusCode::OK, warden.borrow().state()),
-        Ok(Call::Read) => order(&warden, Order::Read).await,
+        Ok(Call::Read) => order(&warden, Order::Read, Book::show).await,
+        Ok(Call::ReadCopies) => order(&warden, Order::Read, Book::show_copies).await,
         Ok(Call::Evacuate { zone, .. }) if !warden.borrow().settings.zones.contains_key(&zone) => {
             error(StatusCode::NOT_FOUND, "no such zone")
         }
         Ok(Call::Evacuate { zone, on }) => {
             log::info!("operator: evacuation of {zone}: {}.", if on { "asked for" } else { "taken back" });
-            order(&warden, Order::Evacuate { zone, on }).await
-        }
-        Ok(Call::Change) => match Limited::new(request.into_body(), CALL).collect().await {
-            Err(_) => error(StatusCode::BAD_REQUEST, "the body breaks off, or is too large"),
-            Ok(body) => match Change::read(body.to_bytes().to_vec()) {
-                Ok(change) => order(&warden, Order::Change(change)).await,
-                Err(e) => error(StatusCode::BAD_REQUEST, &e.to_string()),
-            },
-        },
+            order(&warden, Order::Evacuate { zone, on }, Book::show).await
+        }
+        Ok(Call::Change) => change(&warden, request, Change::read).await,
+        Ok(Call::ChangeCopies) => change(&warden, request, Change::read_copies).await,
     })
 }
 
