--- a/crates/beadle/src/lib.rs
+++ b/crates/beadle/src/lib.rs
@@ -2,6 +2,7 @@
 //! stands, read a coffer's store, and join the logs of all machines into the account of one thing.
 
 pub mod explain;
+pub mod mirror;
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -180,10 +181,15 @@
 }
 
 fn get(at: SocketAddr, path: &str) -> Result<String, Fault> {
+    ask(at, "GET", path, "")
+}
+
+fn ask(at: SocketAddr, method: &str, path: &str, body: &str) -> Result<String, Fault> {
     let asked = || -> std::io::Result<String> {
         let mut stream = TcpStream::connect_timeout(&at, ANSWER)?;
         stream.set_read_timeout(Some(ANSWER))?;
-        write!(stream, "GET {path} HTTP/1.1\r\nHost: {at}\r\nConnection: close\r\n\r\n")?;
+        let head = format!("{method} {path} HTTP/1.1\r\nHost: {at}\r\nConnection: close");
+        write!(stream, "{head}\r\nContent-Length: {}\r\n\r\n{body}", body.len())?;
         let mut text = String::new();
         stream.read_to_string(&mut text)?;
         Ok(text)
@@ -191,6 +197,10 @@
     let text = asked().map_err(|e| Fault::Asked(format!("{at}: {e}")))?;
     match text.split_once("\r\n\r\n") {
         Some((head, body)) if head.starts_with("HTTP/1.1 200") => Ok(body.trim_end().to_string()),
-        _ => Err(Fault::Asked(format!("{at}: {}", text.lines().next().unwrap_or("no answer")))),
+        Some((head, body)) => {
+            let first = head.lines().next().unwrap_or_default();
+            Err(Fault::Asked(format!("{at}: {first} {}", body.trim_end())))
+        }
+        None => Err(Fault::Asked(format!("{at}: no answer"))),
     }
 }
--- a/crates/beadle/src/main.rs
+++ b/crates/beadle/src/main.rs
@@ -6,7 +6,7 @@
 
 use bpaf::Bpaf;
 use damsonbeam_beadle::{
-    Fault, account, check_calls, check_settings, explain, export_store, loads, show_store, state,
+    Fault, account, check_calls, check_settings, explain, export_store, loads, mirror, show_store, state,
     verify_store,
 };
 
@@ -35,6 +35,22 @@
     /// What a proxy knows of each backend's load, from how many others, how old
     #[bpaf(command("loads"))]
     Loads(#[bpaf(positional("READINESS-ADDRESS"))] SocketAddr),
+    /// Sets rules for copies of live requests to trial services, as a file has them
+    #[bpaf(command("mirror-set"))]
+    MirrorSet(#[bpaf(positional("CONTROL-ADDRESS"))] SocketAddr, #[bpaf(positional("FILE"))] PathBuf),
+    /// The rules for copies in force
+    #[bpaf(command("mirror-show"))]
+    MirrorShow(#[bpaf(positional("CONTROL-ADDRESS"))] SocketAddr),
+    /// Ends a rule, by a version above its own
+    #[bpaf(command("mirror-stop"))]
+    MirrorStop(
+        #[bpaf(positional("CONTROL-ADDRESS"))] SocketAddr,
+        #[bpaf(positional("NAME"))] String,
+        #[bpaf(positional("VERSION"))] String,
+    ),
+    /// What came of the copies, over the proxies asked
+    #[bpaf(command("mirror-report"))]
+    MirrorReport(#[bpaf(positional("READINESS-ADDRESS"), some("name a proxy at least"))] Vec<SocketAddr>),
     /// A coffer's store: its items, their versions and ballots. Only while no coffer runs on it.
     #[bpaf(command("store-show"))]
     Show(#[bpaf(positional("FOLDER"))] PathBuf),
@@ -61,6 +77,10 @@
         Work::Calls(paths) => check_calls(&paths),
         Work::State(at) => state(at),
         Work::Loads(at) => loads(at),
+        Work::MirrorSet(at, path) => mirror::set(at, &path),
+        Work::MirrorShow(at) => mirror::show(at),
+        Work::MirrorStop(at, name, version) => mirror::stop(at, &name, &version),
+        Work::MirrorReport(proxies) => mirror::report(&proxies),
         Work::Account { request, proxies } => account(&proxies, request.as_deref()),
         Work::Show(dir) => show_store(&dir),
         Work::Verify(dir) => verify_store(&dir),
--- a/crates/beadle/tests/whole/main.rs
+++ b/crates/beadle/tests/whole/main.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use damsonbeam_beadle::{account, loads};
+use damsonbeam_beadle::{account, loads, mirror};
 use damsonbeam_lab::plain::Message;
 use street::*;
 
@@ -310,6 +310,14 @@
                 .all(|p| String::from_utf8_lossy(&street::call(*p, "GET /-/copies", "").body).contains(&says))
         });
     }
+    let proxies: Vec<SocketAddr> = street.machines.iter().filter(|m| !m.core).map(|m| m.at(READY)).collect();
+    let report = mirror::report(&proxies).expect("a report");
+    let of = |version: &str| report.lines().find(|l| l.starts_with(version)).expect(version).to_string();
+    assert!(of("m r1:").contains(&format!("{} callers", half.len())), "{report}");
+    assert!(of("m r3:").contains("unanswered") && of("m r4:").contains("nowhere"), "{report}");
+    let control = street.machines.iter().find(|m| m.core).expect("a core machine").at(CONTROL);
+    assert!(mirror::stop(control, "m", "r9").is_ok());
+    assert!(mirror::show(control).expect("rules").contains("\"copy_list\":[]"));
     let real: Vec<Message> = servers.iter().flat_map(|s| s.ran.lock().expect("whole").clone()).collect();
     let ids: Vec<&str> = real.iter().filter_map(|r| r.header("x-request-id")).collect();
     assert!(ids.iter().all(|i| !i.starts_with("copy-")), "a copy reached a real backend");
--- a/crates/coffer/tests/worlds.rs
+++ b/crates/coffer/tests/worlds.rs
@@ -423,3 +423,34 @@
     println!("eight at once: {middle} ms, {most} at most");
     assert!(most <= 3000, "{took:?}");
 }
+
+/// Found by reading: an evacuation that waited at a cut-off coffer was carried out seconds later, when its caller had
+/// long had it, and its contrary, done elsewhere.
+#[test]
+fn an_evacuation_whose_caller_has_gone_elsewhere_is_not_carried_out() {
+    let all: Vec<Ip> = (0..3).map(ip).collect();
+    let start = || {
+        let mut a = Agree::new(ip(0), Kept { whole: true, ..Kept::default() }, false, 1, at(0));
+        a.roster(&all, 3, at(0));
+        a.tick(at(2000));
+        a.done();
+        a.order(1, Order::Evacuate { zone: "z".into(), on: true }, at(2000));
+        let asked = a.done();
+        let no = asked.iter().find_map(|act| match act {
+            Act::Broadcast(Note::Prepare { no, ballot, .. }) => Some((*no, *ballot)),
+            _ => None,
+        });
+        (a, no.expect("it is carried out here"))
+    };
+    let proposes = |ms: u64| {
+        let (mut a, (no, ballot)) = start();
+        a.tick(at(ms));
+        a.done();
+        a.heard(ip(1), Note::Promise { no, ok: true, whole: true, ballot, items: None }, at(ms));
+        let acts = a.done();
+        let unsettled = acts.iter().any(|act| matches!(act, Act::Reply(1, Reply::Unsettled(_))));
+        (acts.iter().any(|act| matches!(act, Act::Broadcast(Note::Accept { .. }))), unsettled)
+    };
+    assert_eq!(proposes(2200), (true, false));
+    assert_eq!(proposes(2950), (false, true), "its caller may have had the contrary done by now");
+}
