--- a/crates/porter/src/main.rs
+++ b/crates/porter/src/main.rs
@@ -142,7 +142,7 @@
 /// Datagrams of load summaries, in and out.
 async fn cry(socket: UdpSocket, stock: Rc<RefCell<Stock>>, desks: Rc<RefCell<Desks>>, clock: Clock) {
     let port = socket.local_addr().map_or(0, |a| a.port());
-    let (mut buf, mut tick) = (vec![0; 4096], interval(TICK * 2));
+    let (mut buf, mut tick) = (vec![0; 4096], interval(TICK * 4));
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
