--- a/crates/beadle/tests/whole/main.rs
+++ b/crates/beadle/tests/whole/main.rs
@@ -103,6 +103,9 @@
         proxies.iter().all(|p| loads(*p).is_ok_and(|l| l.contains("\"told_by\":1")))
     });
 
+    let figures = String::from_utf8_lossy(&street::call(proxies[0], "GET /-/figures", "").body).into_owned();
+    assert!(figures.lines().any(|l| l.starts_with("gateway_deliveries{outcome=\"ok\"} ")), "{figures}");
+
     // A bad call is refused whole and says why; nothing of it is in force.
     let bad = first(&[route("r-5", "/five/", "s", 1, ""), route("r-6", "/six/", "nowhere", 1, "")], TENANT);
     let refused = street.order("PATCH /-/configuration", &bad);
--- a/crates/crier/src/sight.rs
+++ b/crates/crier/src/sight.rs
@@ -1,16 +1,20 @@
 //! What this proxy sees of the backends itself, folded from deliveries that begin and end.
 
 use std::collections::HashMap;
+use std::hash::Hasher;
 use std::time::Duration;
 
 use bitcode::{Decode, Encode};
+use fnv::FnvHasher;
 
 /// A backend's name in summaries: the same at every proxy. Two of some hundreds that fall together are rare, and cost
 /// each other some weight, no more.
 pub type Mark = u32;
 
 pub fn mark(id: &str) -> Mark {
-    id.bytes().fold(0x811c_9dc5, |h: u32, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193))
+    let mut hash = FnvHasher::default();
+    hash.write(id.as_bytes());
+    (hash.finish() ^ hash.finish() >> 32) as Mark
 }
 
 /// One proxy's summary of one backend.
--- a/crates/market/src/items.rs
+++ b/crates/market/src/items.rs
@@ -1,8 +1,10 @@
 //! The items of a configuration: read from operators' calls, merged item by item, checked as a whole.
 
 use std::collections::BTreeMap;
+use std::hash::Hasher;
 
 use bitcode::{Decode, Encode};
+use fnv::FnvHasher;
 use simd_json::prelude::*;
 
 use crate::value::{Value, parse, text};
@@ -293,25 +295,28 @@
 }
 
 fn part(key: &Key) -> usize {
-    let hash = key
-        .name
-        .bytes()
-        .fold(0x811c_9dc5 ^ key.kind as u32, |h: u32, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
-    (hash >> 16) as usize % PARTS
+    (hashed(&key.name) as usize).wrapping_add(key.kind as usize) % PARTS
+}
+
+/// A name's number, the same at every process.
+pub fn hashed(name: &str) -> u64 {
+    let mut hash = FnvHasher::default();
+    hash.write(name.as_bytes());
+    let hash = hash.finish();
+    hash ^ hash >> 29
 }
 
 /// One number for an item's key, version and ballot.
 pub fn mark(i: &Item) -> u64 {
-    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
-    let mut eat = |b: u8| hash = (hash ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
-    i.key.name.bytes().for_each(&mut eat);
-    eat(i.key.kind as u8);
-    i.version.to_be_bytes().into_iter().for_each(&mut eat);
-    i.ballot.round.to_be_bytes().into_iter().for_each(&mut eat);
-    i.ballot.writer.to_be_bytes().into_iter().for_each(&mut eat);
+    let mut hash = FnvHasher::default();
+    hash.write(i.key.name.as_bytes());
+    hash.write(&[i.key.kind as u8]);
+    for number in [i.version, i.ballot.round, i.ballot.writer] {
+        hash.write(&number.to_be_bytes());
+    }
     // Spread out, so that a sum of marks tells sets apart.
-    hash ^= hash >> 32;
-    hash = hash.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let hash = hash.finish();
+    let hash = (hash ^ hash >> 32).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     hash ^ hash >> 29
 }
 
--- a/crates/porter/src/main.rs
+++ b/crates/porter/src/main.rs
@@ -90,6 +90,7 @@
     ledger: Rc<RefCell<Ledger>>,
     stock: Rc<RefCell<Stock>>,
     copies: Rc<Copies>,
+    figures: Figures,
     clock: Clock,
     /// The common time less this process's, in seconds.
     ahead: Rc<Cell<f64>>,
@@ -104,6 +105,7 @@
                 Some(known.unwrap_or_else(|| "{\"backends\":null}\n".into()))
             }
             "/-/copies" => Some(self.copies.show()),
+            "/-/figures" => String::from_utf8(self.figures.text()).ok(),
             "/-/account" => {
                 let one = uri.query().and_then(|q| q.strip_prefix("request="));
                 let ahead = Duration::try_from_secs_f64(self.ahead.get()).unwrap_or_default();
@@ -175,10 +177,12 @@
     let stock = Rc::new(RefCell::new(Stock::new(&settings.zone, &settings.region, settings.zones.clone())));
     let clock = Clock::start();
     let copies = Copies::new(clock, ahead.clone());
+    let figures = Figures::new().map_err(|e| format!("figures: {e}"))?;
     let staff = Staff {
         ledger: ledger.clone(),
         stock: stock.clone(),
         copies: copies.clone(),
+        figures: figures.clone(),
         clock,
         ahead: ahead.clone(),
     };
@@ -196,7 +200,6 @@
     let (to, mut words) = mpsc::channel(4096);
     tokio::task::spawn_local(news::run(settings.clone(), known.clone(), to));
 
-    let figures = Figures::new().map_err(|e| format!("figures: {e}"))?;
     let places = (settings.descriptors as usize).saturating_sub(RESERVE).max(64);
     let (most_clients, most_backends) = (places * 3 / 5, places * 2 / 5);
     let memory = (settings.memory_mb as usize) << 20;
--- a/crates/porter/src/stock.rs
+++ b/crates/porter/src/stock.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use damsonbeam::interface::{Entry, Health, TgtId};
+use damsonbeam_market::items::hashed;
 use damsonbeam_market::note::{Server, addr};
 
 use crate::chart::{Chart, Homes};
@@ -117,7 +118,7 @@
     fn part(&self, service: &str) -> HashSet<&str> {
         let home =
             self.servers.iter().filter(|s| s.service == service && self.region_of(&s.zone) == self.region);
-        let mut row: Vec<(u64, &Server)> = home.map(|s| (hash(&s.id), s)).collect();
+        let mut row: Vec<(u64, &Server)> = home.map(|s| (hashed(&s.id), s)).collect();
         row.sort_unstable_by_key(|r| r.0);
         let slots: f64 = row.iter().map(|r| f64::from(r.1.slots)).sum();
         let (place, near) = (self.place.0 as usize, self.place.1.max(1));
@@ -162,13 +163,6 @@
     }
 }
 
-/// Spreads ids out, the same at every proxy.
-fn hash(id: &str) -> u64 {
-    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
-    id.bytes().for_each(|b| hash = (hash ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
-    hash ^ hash >> 29
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
