--- a/crates/coffer/src/main.rs
+++ b/crates/coffer/src/main.rs
@@ -257,7 +257,8 @@
 /// Holds a link to one peer while the roster names it.
 async fn hold(peer: Ip, settings: Rc<Settings>, roster: Rc<RefCell<Vec<Ip>>>, to: mpsc::Sender<Mail>) {
     while roster.borrow().contains(&peer) {
-        if let Ok(stream) = link::dial(settings.inner(addr(peer), Port::Coffer), DIAL).await {
+        if let Ok(stream) = link::dial_from(settings.ip, settings.inner(addr(peer), Port::Coffer), DIAL).await
+        {
             let (from, out) = link::split(stream);
             to.send(Mail::Up { peer, out }).await.ok();
             read(from, DIALLED + u64::from(u32::from_be_bytes(peer)), to.clone()).await;
--- a/crates/market/src/link.rs
+++ b/crates/market/src/link.rs
@@ -1,6 +1,7 @@
 //! Held connections between the system's own processes: messages of bounded length, each with its length first.
 
-use std::net::SocketAddr;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use bitcode::{Decode, Encode};
@@ -21,7 +22,27 @@
 /// # Errors
 /// Where no connection comes up in time.
 pub async fn dial(at: SocketAddr, within: Duration) -> Result<TcpStream, String> {
-    match timeout(within, TcpStream::connect(at)).await {
+    up(within, TcpStream::connect(at)).await
+}
+
+/// The same from an address of this machine's, by which the other side knows who calls: a machine may have several.
+///
+/// # Errors
+/// Where no connection comes up in time.
+pub async fn dial_from(ip: IpAddr, at: SocketAddr, within: Duration) -> Result<TcpStream, String> {
+    up(within, async {
+        let socket = TcpSocket::new_v4()?;
+        socket.bind((ip, 0).into())?;
+        socket.connect(at).await
+    })
+    .await
+}
+
+async fn up(
+    within: Duration,
+    connect: impl Future<Output = io::Result<TcpStream>>,
+) -> Result<TcpStream, String> {
+    match timeout(within, connect).await {
         Ok(Ok(stream)) => {
             tend(&stream);
             Ok(stream)
