--- a/crates/coffer/src/agree.rs
+++ b/crates/coffer/src/agree.rs
@@ -50,6 +50,22 @@
     pub decided: Book,
 }
 
+impl Kept {
+    /// What a disk holds once it has kept that.
+    pub fn keep(&mut self, keep: &Keep) {
+        match keep {
+            Keep::Promised(b) => self.promised = *b,
+            Keep::Whole => self.whole = true,
+            Keep::Accepted(items) => items.iter().for_each(|i| {
+                self.accepted.replace(i.clone());
+            }),
+            Keep::Decided(items) => items.iter().for_each(|i| {
+                self.decided.replace(i.clone());
+            }),
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Hash)]
 pub enum Keep {
     Promised(Ballot),
@@ -449,8 +465,8 @@
         let mut book = std::mem::take(&mut **gathered);
         settle(&mut book, &self.kept.decided);
         let ballot = round.ballot;
-        let left = book.items().values().filter(|i| self.kept.decided.items().get(&i.key) != Some(i));
-        let left: Vec<Item> = left.map(|i| Item { ballot, ..i.clone() }).collect();
+        let left = beyond(&book, &self.kept.decided).map(|i| Item { ballot, ..i.clone() });
+        let left: Vec<Item> = left.collect();
         if left.is_empty() {
             self.carry_out(now);
         } else {
@@ -474,8 +490,7 @@
         for (_, reply) in replies.iter_mut().filter(|r| r.1 == Reply::Book(Vec::new())) {
             *reply = Reply::Book(book.items().values().cloned().collect());
         }
-        let new = book.items().values().filter(|i| self.kept.decided.items().get(&i.key) != Some(i));
-        let new: Vec<Item> = new.cloned().collect();
+        let new: Vec<Item> = beyond(&book, &self.kept.decided).cloned().collect();
         if new.is_empty() {
             self.round = None;
             self.clashes = 0;
@@ -487,7 +502,7 @@
 
     fn propose(&mut self, items: Vec<Item>, replies: Option<Vec<(Asker, Reply)>>, now: Duration) {
         let me = self.me;
-        let before = items.iter().filter_map(|i| self.kept.decided.items().get(&i.key));
+        let before = items.iter().filter_map(|i| self.kept.decided.get(&i.key));
         let decided: Vec<Item> = before.cloned().collect();
         let Some(round) = &mut self.round else { return };
         if self.kept.promised > round.ballot {
@@ -529,21 +544,21 @@
     }
 }
 
+/// The items of a book that are not so decided.
+fn beyond<'a>(book: &'a Book, decided: &'a Book) -> impl Iterator<Item = &'a Item> {
+    book.items().values().filter(move |i| decided.get(&i.key) != Some(i))
+}
+
 /// Leftovers of writes that were given up may clash with what was decided without them: they go, oldest first.
 /// What was decided never clashes, for each write was checked against all decided before it.
 fn settle(book: &mut Book, decided: &Book) {
     while book.check().is_err() {
-        let mut left: Vec<(Ballot, Key)> = book
-            .items()
-            .values()
-            .filter(|i| decided.items().get(&i.key) != Some(i))
-            .map(|i| (i.ballot, i.key.clone()))
-            .collect();
+        let mut left: Vec<(Ballot, Key)> = beyond(book, decided).map(|i| (i.ballot, i.key.clone())).collect();
         left.sort_unstable();
         let Some(first) = left.first().cloned() else { return };
         let without = |key: &Key| {
             let mut b = book.clone();
-            match decided.items().get(key) {
+            match decided.get(key) {
                 Some(known) => b.set(known.clone()),
                 None => b.remove(key),
             }
@@ -571,7 +586,7 @@
         }
         Order::Evacuate { zone, on } => {
             let key = Key { kind: Kind::Evacuation, name: zone.clone() };
-            let known = book.items().get(&key);
+            let known = book.get(&key);
             if known.is_some_and(|i| i.body.is_some()) == *on {
                 return (None, Reply::Done);
             }
--- a/crates/coffer/tests/model.rs
+++ b/crates/coffer/tests/model.rs
@@ -6,7 +6,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
-use damsonbeam_coffer::agree::{Act, Agree, Keep, Kept};
+use damsonbeam_coffer::agree::{Act, Agree, Kept};
 use damsonbeam_market::items::{Book, Change, Item, Key, Kind};
 use damsonbeam_market::note::{Ip, Note, Order, Reply, pack};
 use stateright::{Checker, Model, Property};
@@ -111,16 +111,8 @@
         let Some(acts) = s.nodes[n].agree.as_mut().map(Agree::done) else { return };
         let disk = &mut s.nodes[n].disk;
         for act in &acts {
-            match act {
-                Act::Keep(Keep::Promised(b)) => disk.promised = *b,
-                Act::Keep(Keep::Whole) => disk.whole = true,
-                Act::Keep(Keep::Accepted(items)) => items.iter().for_each(|i| {
-                    disk.accepted.replace(i.clone());
-                }),
-                Act::Keep(Keep::Decided(items)) => items.iter().for_each(|i| {
-                    disk.decided.replace(i.clone());
-                }),
-                _ => {}
+            if let Act::Keep(keep) = act {
+                disk.keep(keep);
             }
         }
         for act in acts {
--- a/crates/coffer/tests/worlds.rs
+++ b/crates/coffer/tests/worlds.rs
@@ -94,19 +94,9 @@
     }
 
     fn keep(&mut self, n: usize, keep: &Keep) {
-        let disk = &mut self.disks[n];
-        match keep {
-            Keep::Promised(b) => disk.promised = *b,
-            Keep::Whole => {
-                disk.whole = true;
-                self.wiped.remove(&n);
-            }
-            Keep::Accepted(items) => items.iter().for_each(|i| {
-                disk.accepted.replace(i.clone());
-            }),
-            Keep::Decided(items) => items.iter().for_each(|i| {
-                disk.decided.replace(i.clone());
-            }),
+        self.disks[n].keep(keep);
+        if *keep == Keep::Whole {
+            self.wiped.remove(&n);
         }
     }
 
--- a/crates/porter/src/copies.rs
+++ b/crates/porter/src/copies.rs
@@ -175,11 +175,12 @@
                 Ok((id, at, body)) => {
                     sessions.copied((&name.0, name.1), caller);
                     let pair = Rc::<RefCell<Pair>>::default();
+                    let size = body.len();
                     let request = request(ask, body, &id, &name);
                     let (copies, of, rule) = (self.clone(), pair.clone(), name.clone());
-                    tokio::task::spawn_local(
-                        async move { copies.send(at, request, rule, caller, of, now).await },
-                    );
+                    tokio::task::spawn_local(async move {
+                        copies.send(at, (request, size), rule, caller, of, now).await
+                    });
                     tickets.push(Ticket { pair, rule: name, began: now, copies: self.clone() });
                 }
             }
@@ -190,20 +191,19 @@
     async fn send(
         self: Shared,
         at: SocketAddr,
-        request: Option<Request<Full<Bytes>>>,
+        (request, size): (Option<Request<Full<Bytes>>>, usize),
         rule: (String, u64),
         caller: Caller,
         pair: Rc<RefCell<Pair>>,
         began: Duration,
     ) {
-        let size = request.as_ref().and_then(|r| hyper::body::Body::size_hint(r.body()).exact()).unwrap_or(0);
         let answer = match request {
             Some(request) => timeout(PATIENCE, self.ask(at, request)).await.ok().flatten(),
             None => None,
         };
         {
             let mut inner = self.inner.borrow_mut();
-            inner.budget.done(size as usize);
+            inner.budget.done(size);
             if answer.is_none() {
                 inner.sessions.dropped((&rule.0, rule.1), caller, Dropped::Unanswered);
             }
--- a/crates/porter/src/main.rs
+++ b/crates/porter/src/main.rs
@@ -234,6 +234,12 @@
     let clients =
         Rc::new(Clients::new(Rc::new(requests), most_clients, bodies, clock, now.clone(), &figures));
     let mut counts = Counts { toll: Toll::new(rand::random()), clock, known: known.clone() };
+    // So many proxies share what all of them together may use.
+    let share = |porters: u32| {
+        copies.proxies.set(porters);
+        purse.borrow_mut().share(porters);
+        stock.borrow_mut().thaw.share(porters);
+    };
     let mut accepting = None;
     let mut lot = || rand::rng().random::<f64>();
     let mut open: HashMap<damsonbeam::interface::TgtId, bool> = HashMap::new();
@@ -324,10 +330,7 @@
             }
             Some(Word::Beat(beat)) => {
                 if beat.porters > 0 {
-                    let porters = counts.toll.share(beat.porters, beat.attached, clock.now());
-                    copies.proxies.set(porters);
-                    purse.borrow_mut().share(porters);
-                    stock.borrow_mut().thaw.share(porters);
+                    share(counts.toll.share(beat.porters, beat.attached, clock.now()));
                     stock.borrow_mut().place = (beat.place, beat.near);
                     if desks.borrow_mut().near(beat.near, beat.place) {
                         desks.borrow().tell_all();
@@ -345,9 +348,7 @@
             }
             // The clerk's word is the better one, but at a start there is none.
             Some(Word::Porters(porters)) if reign == 0 && porters > 0 => {
-                let porters = counts.toll.share(porters, porters, clock.now());
-                purse.borrow_mut().share(porters);
-                stock.borrow_mut().thaw.share(porters);
+                share(counts.toll.share(porters, porters, clock.now()));
             }
             Some(Word::Porters(_)) => {}
             Some(Word::Few(near, far)) => {
