A gateway that hands over says that it is not ready before the next one says that it is

Cause: life.rs entered Serving, which the operators' own thread answers by, before it told the elder and before it took its seat; the elder said no only once it had read that. docs/operations/upgrade.md promises the contrary. Excluded: the new tests beside it (the same without the one that was changed), ports and folders (each its own). Change: the elder is Yielding, and not ready, from when it stops accepting, sends nobody away yet, and is Serving again if the younger is lost; the younger takes its seat and tells the elder before it is ready.

--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -126,8 +126,8 @@
         config.notes.iter().for_each(|note| log!(info, "not-on-sockets", "{note}"));
         config.unknown.iter().for_each(|key| log!(warn, "key-unknown", "{key}: not read"));
         let mut running = self.start(config).await?;
-        self.now.enter(Stage::Serving, &name);
         running.serves().await;
+        self.now.enter(Stage::Serving, &name);
         self.serve(&mut running).await?;
         self.now.enter(Stage::Draining, &name);
         let end = Instant::now() + running.grace();
@@ -230,7 +230,13 @@
                 let known = serde_json::to_value(&*running.shelf.borrow());
                 say(Said::Known(known.unwrap_or_default())).await;
             }
-            Does::StopAccepting => running.stop_accepting(),
+            Does::StopAccepting => {
+                running.stop_accepting();
+                // Before the other one can say that it is ready: never both do.
+                if self.now.stage() == Stage::Serving {
+                    self.now.enter(Stage::Yielding, &name);
+                }
+            }
             Does::SendCarry => {
                 let (to, carry) = oneshot::channel();
                 running.module.send(ToModule::Yield(to)).await.map_err(|e| e.to_string())?;
@@ -245,7 +251,7 @@
                 if let Some(path) = &running.succession.path {
                     running.succession.seat = Seat::take(path);
                 }
-                if self.now.stage() == Stage::Yielded {
+                if matches!(self.now.stage(), Stage::Yielding | Stage::Yielded) {
                     self.now.enter(Stage::Serving, &name);
                 }
             }
--- a/crates/gateway/src/stage.rs
+++ b/crates/gateway/src/stage.rs
@@ -8,7 +8,8 @@
 /// | stage | `/up`, ready | new invocations | idle connections | may turn to |
 /// | --- | --- | --- | --- | --- |
 /// | Starting | no | throttled | kept | Serving, Ended |
-/// | Serving | yes | taken | kept for a while | Evacuated, Yielded, Draining |
+/// | Serving | yes | taken | kept for a while | Yielding, Evacuated, Yielded, Draining |
+/// | Yielding | no | taken on what is open; nobody accepts yet in its place | kept for a while | Serving, Yielded, Draining |
 /// | Evacuated | no | taken, the answer ends its connection | closed | Serving, Yielded, Draining |
 /// | Yielded | no | as Evacuated; another process accepts | closed | Serving, Draining |
 /// | Draining | no | taken, the answer ends its connection | kept | Finishing |
@@ -19,6 +20,8 @@
     Starting,
     /// Takes invocations; `/up` says so.
     Serving,
+    /// Accepts no more, for another process of this gateway is about to.
+    Yielding,
     /// Operators had it drain: lives on, takes what still comes, and waits for a rejoin.
     Evacuated,
     /// Another process of this gateway serves: sends its clients away, owes what it holds.
@@ -55,7 +58,7 @@
 impl Now {
     pub fn stage(&self) -> Stage {
         use Stage::*;
-        let all = [Starting, Serving, Evacuated, Yielded, Draining, Finishing];
+        let all = [Starting, Serving, Yielding, Evacuated, Yielded, Draining, Finishing];
         all.into_iter().find(|s| *s as u8 == self.0.load(Ordering::Relaxed)).unwrap_or(Ended)
     }
 
