Directory: what left by plan widens no answer beyond the homes of the host's routes

Change: the decision (registry/directory.rs) takes what each proxy is at, whether the region lost one without a plan of late, and the homes that the host's routes have in common; host_homes.rs keeps these up item by item, known_proxies.rs tells a planned leave from a loss, partners.rs has the choice of load-report partners.

--- a/crates/registry/src/calls.rs
+++ b/crates/registry/src/calls.rs
@@ -8,6 +8,8 @@
 pub enum Call {
     /// The proxies for a client.
     Lookup {
+        /// The host that the client wants to reach.
+        host: String,
         /// The client's region.
         region: String,
         /// The client's zone.
@@ -61,6 +63,7 @@
     let lookup = Method("GET", |_, query| {
         let parameter = |name: &str| query.get(name).cloned().unwrap_or_default();
         Call::Lookup {
+            host: parameter("name"),
             region: parameter("region"),
             zone: parameter("zone"),
         }
--- /dev/null
+++ b/crates/registry/src/host_homes.rs
@@ -0,0 +1,68 @@
+//! The home regions of each host's routes, kept up with the configuration item by item. Free of I/O.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use damsonbeam_control::config::{Item, ItemKind, Route};
+
+use crate::directory::HomeRegions;
+
+/// The home regions of routes, by host.
+#[derive(Debug, Default)]
+pub struct HostHomes {
+    /// The host of each route that has homes.
+    hosts: BTreeMap<String, String>,
+    /// The homes of each such route, by host and by the route's name.
+    homes: BTreeMap<String, BTreeMap<String, BTreeSet<String>>>,
+}
+
+impl HostHomes {
+    /// Takes an item of the configuration that has changed.
+    pub fn update(&mut self, item: &Item) {
+        if item.key.kind != ItemKind::Route {
+            return;
+        }
+        self.forget(&item.key.name);
+        if item.is_removed() {
+            return;
+        }
+        // A route that can't be read is not in force anywhere.
+        if let Ok(route) = Route::try_from(item) {
+            self.add(route);
+        }
+    }
+
+    fn forget(&mut self, route: &str) {
+        let Some(host) = self.hosts.remove(route) else {
+            return;
+        };
+        if let Some(routes) = self.homes.get_mut(&host) {
+            routes.remove(route);
+            if routes.is_empty() {
+                self.homes.remove(&host);
+            }
+        }
+    }
+
+    fn add(&mut self, route: Route) {
+        if route.home_regions.is_empty() {
+            return;
+        }
+        let homes = route.home_regions.into_iter().collect();
+        let routes = self.homes.entry(route.host.clone()).or_default();
+        routes.insert(route.name.clone(), homes);
+        self.hosts.insert(route.name, route.host);
+    }
+
+    /// Where the requests for a host may be served: the regions that all its routes with homes have in common.
+    pub fn of(&self, host: &str) -> HomeRegions {
+        let host = host.to_ascii_lowercase();
+        let Some(routes) = self.homes.get(&host) else {
+            return HomeRegions::Anywhere;
+        };
+        let common = routes
+            .values()
+            .cloned()
+            .reduce(|common, homes| common.intersection(&homes).cloned().collect());
+        HomeRegions::Only(common.unwrap_or_default())
+    }
+}
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -4,7 +4,8 @@
 //!
 //! In reading order:
 //!
-//! - [`coordinator`], [`counts`], [`backend_list`], [`directory`], [`calls`]: decisions, free of I/O
+//! - [`coordinator`], [`counts`], [`backend_list`], [`directory`], [`host_homes`], [`known_proxies`], [`partners`],
+//!   [`calls`]: decisions, free of I/O
 //! - `common_time`, `proxies`, `store_session`: the parts of a registry's state
 //! - `registry`: the state as a whole, and what happens to it; `store_messages`: what the store sends; `proxy_updates`:
 //!   what proxies are sent; `state_report`: what operators are shown
@@ -18,8 +19,11 @@
 pub mod counts;
 pub mod directory;
 mod gossip;
+pub mod host_homes;
+pub mod known_proxies;
 mod links;
 mod operators;
+pub mod partners;
 mod platform;
 mod proxies;
 mod proxy_updates;
--- a/crates/registry/src/operators.rs
+++ b/crates/registry/src/operators.rs
@@ -18,7 +18,6 @@
 
 use crate::RETRY_PAUSE;
 use crate::calls::{Call, CallError};
-use crate::directory::proxies_near;
 use crate::registry::SharedRegistry;
 use crate::report::{self, ErrorReport, LookupReport};
 
@@ -32,6 +31,8 @@
 const CONNECTION_TIMEOUT: Duration = Duration::from_secs(60);
 /// The answer to operators where no majority of the voters has answered of late.
 const OUT_OF_CONTACT: &str = "this machine is cut off from most of the core: try another";
+/// The answer to clients that can't be named any proxy.
+const NO_PROXY: &str = "no proxy is known that may take the host's requests";
 
 type Answer = Response<Full<Bytes>>;
 /// Which items an answer shows.
@@ -73,7 +74,7 @@
 async fn dispatch(registry: SharedRegistry, call: Call, request: Request<Incoming>) -> Answer {
     let to_json = ConfigSnapshot::to_json;
     match call {
-        Call::Lookup { region, zone } => look_up(&registry, &region, &zone),
+        Call::Lookup { host, region, zone } => look_up(&registry, &host, &region, &zone),
         Call::State => answer(StatusCode::OK, registry.borrow().describe()),
         Call::Read => submit(&registry, Command::Read, to_json).await,
         Call::ReadMirrorRules => {
@@ -92,11 +93,12 @@
     }
 }
 
-fn look_up(registry: &SharedRegistry, region: &str, zone: &str) -> Answer {
+fn look_up(registry: &SharedRegistry, host: &str, region: &str, zone: &str) -> Answer {
     let registry = registry.borrow();
-    let addresses = proxies_near(&registry.proxy_endpoints(), region, zone);
+    let lookup = registry.lookup(host, region, zone);
+    let addresses = lookup.proxies(&registry.proxy_endpoints());
     if addresses.is_empty() {
-        return error(StatusCode::SERVICE_UNAVAILABLE, "no proxy is known");
+        return error(StatusCode::SERVICE_UNAVAILABLE, NO_PROXY);
     }
     let ttl_s = DIRECTORY_TTL_S.min(registry.settings().bound("ttl_max_s", DIRECTORY_TTL_S));
     answer(
--- a/crates/registry/src/proxies.rs
+++ b/crates/registry/src/proxies.rs
@@ -9,11 +9,10 @@
 use damsonbeam_control::messages::{BackendList, Message, ProxyStatus, encode};
 
 use crate::directory::ProxyEndpoint;
+use crate::known_proxies::KnownProxies;
 
 /// A proxy that sent nothing for this long is not attached any more, and not named to clients.
 const ATTACHED_TIMEOUT: Duration = Duration::from_millis(1300);
-/// Proxies not seen for this long may be serving out of contact: until then their share of each quota stays theirs.
-const KNOWN_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Numbers the connections of proxies.
 pub(crate) type LinkNumber = u64;
@@ -71,11 +70,11 @@
     }
 }
 
-/// The connections of proxies, and when each proxy was last seen on any.
+/// The connections of proxies, and what is known of each proxy from any of them.
 #[derive(Default)]
 pub(crate) struct ProxySessions {
     sessions: BTreeMap<LinkNumber, ProxySession>,
-    last_seen: BTreeMap<String, Duration>,
+    known: KnownProxies,
 }
 
 impl ProxySessions {
@@ -103,17 +102,25 @@
 
     /// How many proxies are attached; one that has just reconnected counts once.
     pub(crate) fn attached_count(&self, now: Duration) -> usize {
-        let nodes = self
-            .attached(now)
-            .map(|session| session.status.node.as_str());
-        nodes.collect::<BTreeSet<&str>>().len()
+        self.attached_nodes(now).len()
     }
 
-    /// How many proxies have been seen of late on any connection.
+    fn attached_nodes(&self, now: Duration) -> BTreeSet<&str> {
+        let sessions = self.attached(now);
+        sessions
+            .map(|session| session.status.node.as_str())
+            .collect()
+    }
+
+    /// How many proxies may be using their shares of what all may use together.
     pub(crate) fn known_count(&mut self, now: Duration) -> usize {
-        self.last_seen
-            .retain(|_, last_seen| now < *last_seen + KNOWN_TIMEOUT);
-        self.last_seen.len()
+        self.known.count(now)
+    }
+
+    /// The zones of proxies that were lost without a plan not long ago.
+    pub(crate) fn zones_with_recent_loss(&self, now: Duration) -> Vec<&str> {
+        self.known
+            .zones_with_recent_loss(&self.attached_nodes(now), now)
     }
 
     /// The attached proxies, each once, as the directory names them.
@@ -129,7 +136,7 @@
                 address: SocketAddr::from(status.address),
                 zone: status.zone.clone(),
                 region: region_of(&status.zone),
-                ready: status.ready,
+                phase: self.known.phase(&status.node),
             };
             by_node.insert(&status.node, endpoint);
         }
@@ -144,7 +151,7 @@
         sender: &MessageSender,
         now: Duration,
     ) -> bool {
-        self.last_seen.insert(status.node.clone(), now);
+        self.known.observe(&status, now);
         if let Some(session) = self.sessions.get_mut(&link) {
             session.status = status;
             session.last_seen = now;
--- a/crates/registry/src/proxy_updates.rs
+++ b/crates/registry/src/proxy_updates.rs
@@ -14,7 +14,8 @@
 
 use crate::backend_list::split_pages;
 use crate::coordinator::CountTotals;
-use crate::directory::{self, Partners};
+use crate::directory::ProxyEndpoint;
+use crate::partners::{self, Partners};
 use crate::proxies::{LinkNumber, ProxySession};
 use crate::registry::Registry;
 
@@ -27,7 +28,7 @@
     heartbeat: Heartbeat,
     /// Ready proxies by region and node name, in the order of their positions.
     ready: BTreeSet<(String, String)>,
-    endpoints: Vec<directory::ProxyEndpoint>,
+    endpoints: Vec<ProxyEndpoint>,
 }
 
 impl Registry {
@@ -105,7 +106,7 @@
         if session.exchanges_load_reports() {
             let address = SocketAddr::from(status.address);
             let turn = self.heartbeat_round;
-            let partners = directory::partners(&round.endpoints, address, &region, turn);
+            let partners = partners::partners(&round.endpoints, address, &region, turn);
             session.send(&partners_message(&partners));
         }
     }
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -23,7 +23,8 @@
 
 use crate::common_time::CommonTime;
 use crate::coordinator::{CoordinatorRole, ListOutcome};
-use crate::directory::ProxyEndpoint;
+use crate::directory::{HomeRegions, Lookup, ProxyEndpoint};
+use crate::host_homes::HostHomes;
 use crate::proxies::{LinkNumber, ProxySessions};
 use crate::store_session::StoreSession;
 
@@ -47,6 +48,8 @@
     pub(crate) proxies: ProxySessions,
     pub(crate) store: StoreSession,
     pub(crate) config: ConfigSnapshot,
+    /// Follows from the configuration; kept up to date because clients ask many times a second.
+    pub(crate) host_homes: HostHomes,
     /// The store has sent everything that it knows to be committed.
     pub(crate) has_all_items: bool,
     pub(crate) backends: BackendList,
@@ -73,6 +76,7 @@
             proxies: ProxySessions::default(),
             store: StoreSession::default(),
             config: ConfigSnapshot::default(),
+            host_homes: HostHomes::default(),
             has_all_items: false,
             backends: BackendList::default(),
             was_in_contact: false,
@@ -121,6 +125,26 @@
             .endpoints(self.now(), |zone| self.region_of(zone))
     }
 
+    /// What the directory's answer to a client rests on, besides the proxies.
+    pub(crate) fn lookup<'a>(&self, host: &str, region: &'a str, zone: &'a str) -> Lookup<'a> {
+        let homes = if self.has_all_items {
+            self.host_homes.of(host)
+        } else {
+            HomeRegions::Unknown
+        };
+        let has_recent_loss = self
+            .proxies
+            .zones_with_recent_loss(self.now())
+            .into_iter()
+            .any(|zone| self.region_of(zone) == region);
+        Lookup {
+            region,
+            zone,
+            homes,
+            has_recent_loss,
+        }
+    }
+
     /// Time has passed: datagrams to send.
     pub(crate) fn tick(&mut self) -> Vec<OutgoingDatagram> {
         let now = self.now();
--- a/crates/registry/tests/calls.rs
+++ b/crates/registry/tests/calls.rs
@@ -35,6 +35,7 @@
         Ok(Call::Change)
     );
     let lookup = Call::Lookup {
+        host: "x".into(),
         region: "finistere".into(),
         zone: "brest-a".into(),
     };
