Shared count: a slot's name and its end come from one mapping

Cause: names were shifted by the offset of the common time rounded to whole slots, ends by the exact offset: up to half a slot before a slot was over, the others were taken to add nothing more to it. A new coordinator's common time decides how far off the two lie, for as long as it lasts. Change: quota/slot_naming.rs maps slots and times in one place. The coordinator drops a report with less requested than it knows: it comes late, over a connection that was replaced. Tests share one harness of a metered proxy. Tests: the end of a slot by a fixed case, worlds with changes of coordinator, steps of the common time, cuts, restarts, doubled and late reports, all placements of two faults in a small world.

--- a/crates/proxy/src/quota/mod.rs
+++ b/crates/proxy/src/quota/mod.rs
@@ -13,6 +13,7 @@
 
 mod count;
 mod rate;
+mod slot_naming;
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -22,6 +23,7 @@
 use rand::{Rng, SeedableRng};
 
 use count::{Count, REPORT_AGE, Tenant, Units};
+use slot_naming::SlotNaming;
 
 /// The coordinator is silent once a report to it has had no answer for this long: several round trips.
 const COORDINATOR_TIMEOUT: Duration = Duration::from_millis(600);
@@ -42,8 +44,6 @@
 const OVER_ANY_QUOTA: f64 = 1e9;
 /// Units admitted here since the others were heard of, above which each of them is taken to have admitted as many.
 const SPARE_UNITS: f64 = 1.0;
-/// The common time is known this well, in seconds: round trips between regions differ by less.
-const TIME_JITTER_S: f64 = 0.06;
 /// The number of proxies taken as given before anybody reports one: a fresh proxy among others must not use the quota
 /// alone.
 pub const ASSUMED_PROXIES: u32 = 24;
@@ -73,8 +73,7 @@
     unanswered_since: Option<Duration>,
     counts: BTreeMap<String, Count>,
     tenants: HashMap<String, Tenant>,
-    /// The common time less the module's, in seconds.
-    time_offset_s: f64,
+    naming: SlotNaming,
     last_sweep: Duration,
     /// When everything was reported last.
     last_calm_report: Option<Duration>,
@@ -117,7 +116,7 @@
             unanswered_since: None,
             counts: BTreeMap::new(),
             tenants: HashMap::new(),
-            time_offset_s: 0.0,
+            naming: SlotNaming::default(),
             last_sweep: Duration::ZERO,
             last_calm_report: None,
             random: SmallRng::seed_from_u64(seed),
@@ -161,12 +160,9 @@
         self.is_connected = is_connected;
     }
 
-    /// Sets the common time less the module's, in seconds: slots are named by the common time. Small differences come
-    /// from the ways of messages: slots must not be renamed because of them.
+    /// Sets the common time less the module's, in seconds: slots are named by the common time.
     pub fn set_time_offset(&mut self, offset_s: f64) {
-        if (offset_s - self.time_offset_s).abs() >= TIME_JITTER_S {
-            self.time_offset_s = offset_s;
-        }
+        self.naming.set_offset(offset_s);
     }
 
     /// Sets a tenant's quota in units a second, and the length of its slots in seconds.
@@ -185,22 +181,16 @@
         let Some((slot, tenant)) = split_name(name) else {
             return name.to_owned();
         };
-        let slot_s = self.slot_s(tenant);
-        let shift = if slot_s > 0.0 {
-            (self.time_offset_s / slot_s).round() as i64
-        } else {
-            0
-        };
-        format!("{}/{tenant}", slot.saturating_add_signed(shift))
+        let common_slot = self.naming.common_slot(slot, self.slot_s(tenant));
+        format!("{common_slot}/{tenant}")
     }
 
-    /// When a name's slot ends, by the module's time.
-    fn slot_end(&self, name: &str) -> Duration {
-        let Some((slot, tenant)) = split_name(name) else {
+    /// When a common name's slot ends, by the module's time.
+    fn slot_end(&self, common_name: &str) -> Duration {
+        let Some((slot, tenant)) = split_name(common_name) else {
             return Duration::ZERO;
         };
-        let end_s = (slot + 1) as f64 * self.slot_s(tenant) - self.time_offset_s;
-        Duration::from_secs_f64(end_s.max(0.0))
+        self.naming.end(slot, self.slot_s(tenant))
     }
 
     /// Whether nothing is known of the others: the coordinator is not connected, or does not answer.
--- a/crates/proxy/tests/quota.rs
+++ b/crates/proxy/tests/quota.rs
@@ -1,16 +1,18 @@
 //! The shared count as one proxy sees it, and ten or more proxies with the decision module against their coordinator.
 
-use std::collections::VecDeque;
+#[path = "quota_support/mod.rs"]
+mod quota_support;
+
 use std::time::Duration;
 
-use damsonbeam::Rules;
-use damsonbeam::interface::*;
 use damsonbeam_control::messages::{Heartbeat, NamedCount};
 use damsonbeam_proxy::quota::{ASSUMED_PROXIES, QuotaCounter, is_proxy_count_usable};
 use damsonbeam_registry::counts::SharedCounts;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use quota_support::{MeteredProxy, SLOT_S, TENANT, most_admitted, most_in_five_seconds};
+
 fn named(name: &str, admitted: f64, requested: f64) -> NamedCount {
     NamedCount {
         name: name.into(),
@@ -94,200 +96,96 @@
     assert_eq!(counter.add("7/x", 0.0, at(0)), 10.0);
 }
 
-/// The decision module of one proxy, with a backend that answers at once.
-struct Proxy {
-    quota: QuotaCounter,
-    rules: Rules,
-    next: u64,
-}
-
-impl Proxy {
-    fn new(proxies: u32, rate: f64, seed: u64) -> Self {
-        let mut quota = QuotaCounter::new(seed);
-        quota.set_proxies(proxies, proxies, at(0));
-        quota.set_coordinator(1, true);
-        quota.set_rate("x", rate, 0.5);
-        let plan = Plan {
-            rate,
-            burst: rate,
-            price: 1.0,
-            excess_cost: 1.0,
-            ..Plan::default()
-        };
-        let (latency_objective, integration_timeout) = (at(500), at(3000));
-        let op = Operation {
-            latency_objective,
-            integration_timeout,
-            billed_value: 1.0,
-            ..Operation::default()
-        };
-        let limits = Limits {
-            max_attempts: 1,
-            open: usize::MAX,
-            ..Limits::default()
-        };
-        let set = Settings {
-            gateways: 1,
-            tick: at(1),
-            operations: vec![op],
-            plans: vec![plan],
-            in_force: InForce {
-                operations: vec![OperationId(0)],
-                plans: vec![PlanId(0)],
-            },
-            limits,
-            counter: Some(Counter {
-                timeout: at(100),
-                price: 0.0,
-            }),
-            max_units: 1.0,
-            warm_up_share: 1.0,
-            overload_factor: 1.0,
-            overload_span: at(1000),
-            ..Settings::default()
-        };
-        let mut rules = Rules::new(seed, set, at(0));
-        let entry = |n| BackendEntry {
-            backend_id: BackendId(n),
-            health: Health::Up,
-            weight: 1.0,
-            ..BackendEntry::default()
-        };
-        rules.on(
-            at(0),
-            Event::BackendList {
-                form: ListForm::Replace,
-                entries: (0..9).map(entry).collect(),
-            },
-        );
-        Proxy {
-            quota,
-            rules,
-            next: 0,
-        }
-    }
-
-    /// Whether a request of the tenant's is let in.
-    fn ask(&mut self, now: Duration) -> bool {
-        self.next += 1;
-        let (invocation_id, deadline, customer) = (
-            InvocationId(self.next),
-            now + at(3000),
-            CustomerId("x".into()),
-        );
-        let told = Invocation {
-            id: invocation_id,
-            deadline,
-            customer,
-            units: 1.0,
-            spread: 1,
-            ..Invocation::default()
-        };
-        let (mut events, mut passed) = (VecDeque::from([Event::Invocation(told)]), false);
-        while let Some(event) = events.pop_front() {
-            for action in self.rules.on(now, event) {
-                match action {
-                    Action::AddToCounter { name, add, .. } => {
-                        let (total, outcome, latency) =
-                            (self.quota.add(&name, add, now), Outcome::Ok, at(0));
-                        events.push_back(Event::CounterTotal {
-                            name,
-                            outcome,
-                            total,
-                            others: 0.0,
-                            latency,
-                        });
-                    }
-                    Action::SendAttempt {
-                        invocation_id,
-                        backend_id,
-                        ..
-                    } => {
-                        passed = true;
-                        events.push_back(Event::AttemptEnded {
-                            invocation_id,
-                            attempt: AttemptNumber(0),
-                            backend_id,
-                            outcome: Outcome::Ok,
-                            latency: at(1),
-                            closed: true,
-                            used: None,
-                            true_units: None,
-                            report: vec![],
-                        });
-                    }
-                    _ => {}
-                }
-            }
-        }
-        passed
-    }
+/// A message on its way: when it comes, whose it is, what it says, and whether it is the coordinator's.
+struct InFlight {
+    due_ms: u64,
+    proxy: usize,
+    counts: Vec<NamedCount>,
+    is_answer: bool,
 }
 
-/// A message on its way: when it comes, whose it is, what it says, and whether it is the coordinator's.
-type Mail = (u64, usize, Vec<NamedCount>, bool);
+/// The way between proxies and the coordinator, a region away, in milliseconds.
+const WAY_MS: u64 = 58;
 
-/// Ten proxies with the decision module, their coordinator a region away, and a tenant of rate and burst 300 that sends
+/// Proxies with the decision module, their coordinator a region away, and a tenant of rate and burst `rate` that sends
 /// `load` a second: what is admitted in the worst five seconds, and a second once it lasts.
 fn admitted(proxies: u32, rate: f64, load: f64, coordinator: &dyn Fn(u64) -> bool) -> (f64, f64) {
-    let mut all: Vec<Proxy> = (0..proxies)
-        .map(|n| Proxy::new(proxies, rate, n.into()))
-        .collect();
-    let mut rng = SmallRng::seed_from_u64(3);
+    let start = |seed: u32| {
+        let mut proxy = MeteredProxy::start(rate, seed.into(), at(0));
+        proxy.quota.set_proxies(proxies, proxies, at(0));
+        proxy.quota.set_coordinator(1, true);
+        proxy
+    };
+    let mut all: Vec<MeteredProxy> = (0..proxies).map(start).collect();
+    let mut random = SmallRng::seed_from_u64(3);
     let mut totals = SharedCounts::default();
-    totals.set_rate("x", rate);
-    let mut mail: Vec<Mail> = Vec::new();
-    let (mut passed, mut due) = (Vec::new(), 0.0);
+    totals.set_rate(TENANT, rate);
+    let mut in_flight: Vec<InFlight> = Vec::new();
+    let mut admitted_ms = Vec::new();
+    let mut due = 0.0;
     for ms in 0..14_000u64 {
-        let (now_due, rest): (Vec<_>, Vec<_>) = mail.drain(..).partition(|m| m.0 <= ms);
-        mail = rest;
-        for (_, p, names, back) in now_due {
-            if back {
-                all[p].quota.receive_totals(1, &names, at(ms));
+        let (arrived, later): (Vec<_>, Vec<_>) = in_flight
+            .drain(..)
+            .partition(|message| message.due_ms <= ms);
+        in_flight = later;
+        for message in arrived {
+            let proxy = message.proxy;
+            if message.is_answer {
+                all[proxy].quota.receive_totals(1, &message.counts, at(ms));
             } else if coordinator(ms) {
-                let answers = names
+                let answers = message
+                    .counts
                     .iter()
-                    .map(|count| totals.record(p as u64, count, at(ms)));
-                mail.push((ms + 58, p, answers.collect(), true));
+                    .map(|count| totals.record(proxy as u64, count, at(ms)));
+                in_flight.push(InFlight {
+                    due_ms: ms + WAY_MS,
+                    proxy,
+                    counts: answers.collect(),
+                    is_answer: true,
+                });
             }
         }
         due += if ms < 3000 { rate * 0.6 } else { load } / 1000.0;
         while due >= 1.0 {
             due -= 1.0;
-            if all[rng.random_range(0..proxies as usize)].ask(at(ms)) {
-                passed.push(ms);
+            if all[random.random_range(0..proxies as usize)].request(at(ms)) {
+                admitted_ms.push(ms);
             }
         }
-        if ms % 50 == 0 && coordinator(ms) {
-            let news = totals.take_updates();
-            if !news.is_empty() {
-                (0..all.len()).for_each(|p| mail.push((ms + 58, p, news.clone(), true)));
+        if ms.is_multiple_of(50) && coordinator(ms) {
+            let updates = totals.take_updates();
+            if !updates.is_empty() {
+                let update = |proxy| InFlight {
+                    due_ms: ms + WAY_MS,
+                    proxy,
+                    counts: updates.clone(),
+                    is_answer: true,
+                };
+                in_flight.extend((0..all.len()).map(update));
             }
         }
-        if ms % 25 == 0 {
-            for (p, proxy) in all.iter_mut().enumerate() {
-                let fresh = proxy.quota.take_reports(at(ms));
-                if !fresh.is_empty() {
-                    mail.push((ms + 58, p, fresh, false));
+        if ms.is_multiple_of(25) {
+            for (proxy, metered) in all.iter_mut().enumerate() {
+                let counts = metered.quota.take_reports(at(ms));
+                if !counts.is_empty() {
+                    in_flight.push(InFlight {
+                        due_ms: ms + WAY_MS,
+                        proxy,
+                        counts,
+                        is_answer: false,
+                    });
                 }
             }
         }
     }
-    let worst = (0..9000)
-        .step_by(50)
-        .map(|f| passed.iter().filter(|m| (f..f + 5000).contains(*m)).count());
-    let lasting = passed
-        .iter()
-        .filter(|m| (6000..14_000).contains(*m))
-        .count() as f64
-        / 8.0;
-    (worst.max().unwrap_or(0) as f64, lasting)
+    let lasting = admitted_ms.iter().filter(|ms| **ms >= 6000).count() as f64 / 8.0;
+    (most_admitted(&admitted_ms) as f64, lasting)
 }
 
 #[test]
 fn a_surge_is_held_to_the_quota_by_ten_proxies_a_region_apart_coordinator_or_no_coordinator() {
     for (rate, load) in [(30.0, 5.0), (100.0, 1.3), (100.0, 8.0), (300.0, 5.0)] {
-        let bound = (rate * 5.0 + rate) * 1.1 + 20.0;
+        let bound = most_in_five_seconds(rate);
         let (worst, lasting) = admitted(10, rate, load * rate, &|_| true);
         assert!(worst <= bound, "{worst} of {bound} at {load} times {rate}");
         assert!(
@@ -307,7 +205,7 @@
     // Of 69 proxies each is asked for a small tenant once in a while.
     // At 5 a second 8 s are 40 requests: chance takes a third of them, of 240 a tenth.
     for (rate, load, part) in [(5.0, 8.0, 0.5), (30.0, 3.0, 0.75)] {
-        let bound = (rate * 5.0 + rate) * 1.1 + 20.0;
+        let bound = most_in_five_seconds(rate);
         let (worst, lasting) = admitted(69, rate, load * rate, &|_| true);
         assert!(
             worst <= bound,
@@ -353,3 +251,25 @@
     assert!(!told(false, 1) && !told(false, 10) && !told(false, ASSUMED_PROXIES));
     assert!(told(false, ASSUMED_PROXIES + 1));
 }
+
+#[test]
+fn a_slot_is_over_when_the_modules_slot_is_over_whatever_its_name() {
+    // Near its quota, the others are taken to use their shares until the slot's end: 90 a second of 100.
+    let expected_in_slot = |offset_s: f64| {
+        let mut counter = QuotaCounter::default();
+        counter.set_proxies(10, 10, at(0));
+        counter.set_coordinator(1, true);
+        counter.set_rate(TENANT, 100.0, SLOT_S);
+        counter.set_time_offset(offset_s);
+        // Totals of a name that is not used here come because its tenant is near its quota.
+        counter.receive_totals(1, &[named("9000/x", 0.0, 0.0)], at(9990));
+        counter.add("20/x", 0.0, at(10_000));
+        counter.add("20/x", 0.0, at(10_499))
+    };
+    let on_the_slots = expected_in_slot(0.0);
+    assert!(on_the_slots > 40.0, "{on_the_slots}");
+    for offset_ms in (-490..500).step_by(70) {
+        let expected = expected_in_slot(offset_ms as f64 / 1000.0);
+        assert_eq!(expected, on_the_slots, "{offset_ms} ms off");
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/quota_support/mod.rs
@@ -0,0 +1,159 @@
+//! One proxy's decision module and shared counts, with a backend that answers at once: what tests of quotas have in common.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use damsonbeam::Rules;
+use damsonbeam::interface::*;
+use damsonbeam_proxy::quota::QuotaCounter;
+
+/// The one tenant of these tests.
+pub const TENANT: &str = "x";
+/// Slots of the tenant, in seconds: its burst is a second's worth, and a window is cut in two.
+pub const SLOT_S: f64 = 0.5;
+
+/// A proxy that meters one tenant.
+pub struct MeteredProxy {
+    /// The shared counts as this proxy sees them.
+    pub quota: QuotaCounter,
+    rules: Rules,
+    next_id: u64,
+}
+
+impl MeteredProxy {
+    /// A proxy that has just started, at a time of its own clock. The tenant's quota and burst are `rate`.
+    pub fn start(rate: f64, seed: u64, now: Duration) -> Self {
+        let mut quota = QuotaCounter::new(seed);
+        quota.set_rate(TENANT, rate, SLOT_S);
+        let mut rules = Rules::new(seed, settings(rate), now);
+        let backend = |number| BackendEntry {
+            backend_id: BackendId(number),
+            health: Health::Up,
+            weight: 1.0,
+            ..BackendEntry::default()
+        };
+        let list = Event::BackendList {
+            form: ListForm::Replace,
+            entries: (0..9).map(backend).collect(),
+        };
+        rules.on(now, list);
+        MeteredProxy {
+            quota,
+            rules,
+            next_id: 0,
+        }
+    }
+
+    /// Whether a request of the tenant's is admitted.
+    pub fn request(&mut self, now: Duration) -> bool {
+        self.next_id += 1;
+        let invocation = Invocation {
+            id: InvocationId(self.next_id),
+            deadline: now + Duration::from_secs(3),
+            customer: CustomerId(TENANT.into()),
+            units: 1.0,
+            spread: 1,
+            ..Invocation::default()
+        };
+        let mut events = VecDeque::from([Event::Invocation(invocation)]);
+        let mut is_admitted = false;
+        while let Some(event) = events.pop_front() {
+            for action in self.rules.on(now, event) {
+                is_admitted |= matches!(action, Action::SendAttempt { .. });
+                events.extend(self.carry_out(action, now));
+            }
+        }
+        is_admitted
+    }
+
+    fn carry_out(&mut self, action: Action, now: Duration) -> Option<Event> {
+        match action {
+            Action::AddToCounter { name, add, .. } => {
+                let total = self.quota.add(&name, add, now);
+                Some(Event::CounterTotal {
+                    name,
+                    outcome: Outcome::Ok,
+                    total,
+                    others: 0.0,
+                    latency: Duration::ZERO,
+                })
+            }
+            Action::SendAttempt {
+                invocation_id,
+                backend_id,
+                ..
+            } => Some(Event::AttemptEnded {
+                invocation_id,
+                attempt: AttemptNumber(0),
+                backend_id,
+                outcome: Outcome::Ok,
+                latency: Duration::from_millis(1),
+                closed: true,
+                used: None,
+                true_units: None,
+                report: vec![],
+            }),
+            _ => None,
+        }
+    }
+}
+
+fn settings(rate: f64) -> Settings {
+    let plan = Plan {
+        rate,
+        burst: rate,
+        price: 1.0,
+        excess_cost: 1.0,
+        ..Plan::default()
+    };
+    let operation = Operation {
+        latency_objective: Duration::from_millis(500),
+        integration_timeout: Duration::from_millis(3000),
+        billed_value: 1.0,
+        ..Operation::default()
+    };
+    Settings {
+        gateways: 1,
+        tick: Duration::from_millis(1),
+        operations: vec![operation],
+        plans: vec![plan],
+        in_force: InForce {
+            operations: vec![OperationId(0)],
+            plans: vec![PlanId(0)],
+        },
+        limits: Limits {
+            max_attempts: 1,
+            open: usize::MAX,
+            ..Limits::default()
+        },
+        counter: Some(Counter {
+            timeout: Duration::from_millis(100),
+            price: 0.0,
+        }),
+        max_units: 1.0,
+        warm_up_share: 1.0,
+        overload_factor: 1.0,
+        overload_span: Duration::from_secs(1),
+        ..Settings::default()
+    }
+}
+
+/// What the operators allow within five seconds, for a quota and burst of `rate`.
+pub fn most_in_five_seconds(rate: f64) -> f64 {
+    const OVERAGE: f64 = 1.1;
+    const SLACK: f64 = 20.0;
+    (rate * 5.0 + rate) * OVERAGE + SLACK
+}
+
+/// The most admissions within any five seconds, of times in milliseconds in their order.
+pub fn most_admitted(admitted_ms: &[u64]) -> usize {
+    let mut first = 0;
+    let mut most = 0;
+    for (last, at) in admitted_ms.iter().enumerate() {
+        while admitted_ms[first] + 5000 <= *at {
+            first += 1;
+        }
+        most = most.max(last + 1 - first);
+    }
+    most
+}
--- /dev/null
+++ b/crates/proxy/tests/quota_worlds/world.rs
@@ -0,0 +1,482 @@
+//! Proxies that meter one tenant, coordinators that come and go, and messages that are lost, late or doubled.
+
+use std::time::Duration;
+
+use damsonbeam_control::messages::NamedCount;
+use damsonbeam_registry::counts::SharedCounts;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::quota_support::{MeteredProxy, TENANT};
+
+/// Between two reports of a proxy, as in service.
+const REPORT_INTERVAL_MS: u64 = 25;
+/// Between two broadcasts of totals, as in service.
+const BROADCAST_INTERVAL_MS: u64 = 50;
+/// Between two heartbeats of the coordinator, as in service.
+const HEARTBEAT_INTERVAL_MS: u64 = 400;
+/// A proxy that sent nothing for this long is not attached any more, as in service.
+const ATTACHED_TIMEOUT_MS: u64 = 1300;
+/// A connection on which nothing comes ends, as in service.
+const SILENCE_TIMEOUT_MS: u64 = 2000;
+/// The tenant sends its usual before the surge begins.
+const SURGE_AT_MS: u64 = 3000;
+const USUAL: f64 = 0.6;
+
+/// A span of time in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Span {
+    pub start: u64,
+    pub end: u64,
+}
+
+impl Span {
+    pub fn new(start: u64, end: u64) -> Self {
+        Span { start, end }
+    }
+
+    fn contains(self, ms: u64) -> bool {
+        (self.start..self.end).contains(&ms)
+    }
+}
+
+/// What a world is made of.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    pub seed: u64,
+    pub rate: f64,
+    /// The tenant sends this many times its quota from the surge on.
+    pub load: f64,
+    pub length_ms: u64,
+    /// By proxy: the way to the coordinators, and its clock ahead of the common one, both in milliseconds.
+    pub ways_ms: Vec<u64>,
+    pub clocks_ms: Vec<u64>,
+    /// When each coordinator acts; terms count from 1.
+    pub coordinators: Vec<Span>,
+    /// The common time of each coordinator less that of the first.
+    pub steps_ms: Vec<i64>,
+    /// Which proxy has no way to the coordinators, and when.
+    pub cuts: Vec<(usize, Span)>,
+    /// Which proxy is killed, when, and when it is back with a new incarnation.
+    pub restarts: Vec<(usize, Span)>,
+    /// The part of reports that come twice, the second time late.
+    pub doubled: f64,
+}
+
+impl Scenario {
+    /// A world without faults.
+    pub fn calm(proxies: usize, rate: f64, load: f64) -> Self {
+        let length_ms = 14_000;
+        Scenario {
+            seed: 3,
+            rate,
+            load,
+            length_ms,
+            ways_ms: vec![55; proxies],
+            clocks_ms: vec![0; proxies],
+            coordinators: vec![Span::new(0, length_ms)],
+            steps_ms: vec![0],
+            cuts: vec![],
+            restarts: vec![],
+            doubled: 0.0,
+        }
+    }
+
+    /// A world with faults of all kinds, by its seed.
+    pub fn drawn(seed: u64) -> Self {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let proxies = random.random_range(2..=12);
+        let rate = [30.0, 100.0, 300.0, 490.0][random.random_range(0..4)];
+        let load = random.random_range(1.2..8.0);
+        let mut world = Scenario::calm(proxies, rate, load);
+        world.seed = seed;
+        let spread = [0, 400, 3000][random.random_range(0..3)];
+        world.ways_ms = (0..proxies).map(|_| random.random_range(1..=58)).collect();
+        world.clocks_ms = (0..proxies)
+            .map(|_| random.random_range(0..=spread))
+            .collect();
+        let first_ends = random.random_range(3500..8000);
+        let second_begins = first_ends + random.random_range(300..3500);
+        let second_ends = second_begins + random.random_range(200..6000);
+        let third_begins = second_ends + random.random_range(300..2000);
+        world.coordinators = vec![
+            Span::new(0, first_ends),
+            Span::new(second_begins, second_ends),
+            Span::new(third_begins, world.length_ms),
+        ];
+        let most_ms = [60, 250, 5000][random.random_range(0..3)];
+        let steps = (0..3).map(|_| random.random_range(-most_ms..=most_ms));
+        world.steps_ms = steps.collect();
+        if random.random_bool(0.5) {
+            let begins = random.random_range(3000..9000);
+            let ends = begins + random.random_range(300..4000);
+            world.cuts = vec![(random.random_range(0..proxies), Span::new(begins, ends))];
+        }
+        if random.random_bool(0.5) {
+            let begins = random.random_range(3000..9000);
+            let ends = begins + random.random_range(200..3000);
+            world.restarts = vec![(random.random_range(0..proxies), Span::new(begins, ends))];
+        }
+        world.doubled = [0.0, 0.2][random.random_range(0..2)];
+        world
+    }
+}
+
+/// A fault of a small world.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    /// No coordinator acts for a time; then another one does, whose common time has stepped.
+    CoordinatorLost { for_ms: u64, step_ms: i64 },
+    /// The first proxy has no way to the coordinators for a time.
+    Cut { for_ms: u64 },
+    /// The first proxy is killed, and is back after a time.
+    Killed { for_ms: u64 },
+    /// All reports come twice from the beginning, the second time late.
+    Doubled,
+}
+
+impl Fault {
+    /// All faults of small worlds.
+    pub fn all() -> Vec<Fault> {
+        let mut faults = vec![Fault::Doubled];
+        for for_ms in [400, 1900] {
+            faults.push(Fault::Cut { for_ms });
+            faults.push(Fault::Killed { for_ms });
+            for step_ms in [0, 250] {
+                faults.push(Fault::CoordinatorLost { for_ms, step_ms });
+            }
+        }
+        faults
+    }
+
+    /// Adds the fault to a world; `false` where an earlier coordinator is not back yet.
+    pub fn add_to(self, world: &mut Scenario, at_ms: u64) -> bool {
+        match self {
+            Fault::CoordinatorLost { for_ms, step_ms } => {
+                let last = world.coordinators.len() - 1;
+                if at_ms <= world.coordinators[last].start {
+                    return false;
+                }
+                world.coordinators[last].end = at_ms;
+                world
+                    .coordinators
+                    .push(Span::new(at_ms + for_ms, world.length_ms));
+                world.steps_ms.push(world.steps_ms[last] + step_ms);
+            }
+            Fault::Cut { for_ms } => world.cuts.push((0, Span::new(at_ms, at_ms + for_ms))),
+            Fault::Killed { for_ms } => world.restarts.push((0, Span::new(at_ms, at_ms + for_ms))),
+            Fault::Doubled => world.doubled = 1.0,
+        }
+        true
+    }
+}
+
+/// A message on its way.
+#[derive(Clone, Debug)]
+struct InFlight {
+    due_ms: u64,
+    proxy: usize,
+    incarnation: u64,
+    term: u64,
+    body: Body,
+}
+
+#[derive(Clone, Debug)]
+enum Body {
+    /// To the coordinator.
+    Report(Vec<NamedCount>),
+    /// To a proxy.
+    Totals(Vec<NamedCount>),
+    /// To a proxy: the common time when it was sent, and how many proxies are known and attached.
+    Heartbeat {
+        time_ms: i64,
+        known: u32,
+        attached: u32,
+    },
+}
+
+struct Node {
+    metered: MeteredProxy,
+    incarnation: u64,
+    /// The term of the coordinator that it reports to.
+    term: u64,
+    last_heard_ms: u64,
+    /// When the coordinator last had a report or status of it.
+    last_seen_ms: u64,
+}
+
+/// A world as it goes on.
+pub struct World<'a> {
+    scenario: &'a Scenario,
+    random: SmallRng,
+    nodes: Vec<Node>,
+    counts: SharedCounts,
+    /// The term of the coordinator that keeps the counts.
+    counts_term: u64,
+    in_flight: Vec<InFlight>,
+    next_incarnation: u64,
+}
+
+impl<'a> World<'a> {
+    /// Plays a world; returns when each request was admitted, in milliseconds.
+    pub fn play(scenario: &'a Scenario) -> Vec<u64> {
+        let mut world = World::new(scenario);
+        let mut admitted_ms = Vec::new();
+        let mut due = 0.0;
+        for ms in 0..scenario.length_ms {
+            world.restart(ms);
+            world.deliver(ms);
+            world.act_as_coordinator(ms);
+            world.report(ms);
+            let load = if ms < SURGE_AT_MS {
+                USUAL
+            } else {
+                scenario.load
+            };
+            due += scenario.rate * load / 1000.0;
+            while due >= 1.0 {
+                due -= 1.0;
+                if world.request(ms) {
+                    admitted_ms.push(ms);
+                }
+            }
+        }
+        admitted_ms
+    }
+
+    fn new(scenario: &'a Scenario) -> Self {
+        let proxies = scenario.ways_ms.len();
+        let mut world = World {
+            scenario,
+            random: SmallRng::seed_from_u64(scenario.seed),
+            nodes: vec![],
+            counts: SharedCounts::default(),
+            counts_term: 0,
+            in_flight: vec![],
+            next_incarnation: 0,
+        };
+        world.nodes = (0..proxies).map(|proxy| world.start(proxy, 0)).collect();
+        world
+    }
+
+    fn start(&mut self, proxy: usize, ms: u64) -> Node {
+        self.next_incarnation += 1;
+        let seed = self.scenario.seed ^ self.next_incarnation;
+        let now = self.clock(proxy, ms);
+        Node {
+            metered: MeteredProxy::start(self.scenario.rate, seed, now),
+            incarnation: self.next_incarnation,
+            term: 0,
+            last_heard_ms: ms,
+            last_seen_ms: ms,
+        }
+    }
+
+    /// The time by a proxy's own clock.
+    fn clock(&self, proxy: usize, ms: u64) -> Duration {
+        Duration::from_millis(ms + self.scenario.clocks_ms[proxy])
+    }
+
+    fn term(&self, ms: u64) -> Option<u64> {
+        let acting = |span: &Span| span.contains(ms);
+        let index = self.scenario.coordinators.iter().position(acting)?;
+        Some(index as u64 + 1)
+    }
+
+    fn is_down(&self, proxy: usize, ms: u64) -> bool {
+        let restarts = &self.scenario.restarts;
+        restarts
+            .iter()
+            .any(|(restarted, span)| *restarted == proxy && span.contains(ms))
+    }
+
+    fn is_cut(&self, proxy: usize, ms: u64) -> bool {
+        let cuts = &self.scenario.cuts;
+        cuts.iter()
+            .any(|(cut, span)| *cut == proxy && span.contains(ms))
+    }
+
+    fn restart(&mut self, ms: u64) {
+        let scenario = self.scenario;
+        for (proxy, span) in &scenario.restarts {
+            if span.end == ms {
+                self.nodes[*proxy] = self.start(*proxy, ms);
+            }
+        }
+    }
+
+    fn send(&mut self, ms: u64, proxy: usize, term: u64, body: Body) {
+        if self.is_cut(proxy, ms) || self.is_down(proxy, ms) {
+            return;
+        }
+        self.in_flight.push(InFlight {
+            due_ms: ms + self.scenario.ways_ms[proxy],
+            proxy,
+            incarnation: self.nodes[proxy].incarnation,
+            term,
+            body,
+        });
+    }
+
+    fn deliver(&mut self, ms: u64) {
+        let (due, later) = std::mem::take(&mut self.in_flight)
+            .into_iter()
+            .partition(|message| message.due_ms <= ms);
+        self.in_flight = later;
+        let due: Vec<InFlight> = due;
+        for message in due {
+            let proxy = message.proxy;
+            if self.is_cut(proxy, ms) {
+                continue;
+            }
+            match message.body {
+                Body::Report(ref counts) => {
+                    let counts = counts.clone();
+                    self.receive_report(ms, &message, &counts);
+                }
+                Body::Totals(ref totals) if self.is_for(&message, ms) => {
+                    let now = self.clock(proxy, ms);
+                    let node = &mut self.nodes[proxy];
+                    node.metered.quota.receive_totals(message.term, totals, now);
+                    node.last_heard_ms = ms;
+                }
+                Body::Heartbeat {
+                    time_ms,
+                    known,
+                    attached,
+                } if self.is_for(&message, ms) => {
+                    self.receive_heartbeat(ms, &message, time_ms, (known, attached));
+                }
+                Body::Totals(_) | Body::Heartbeat { .. } => {}
+            }
+        }
+    }
+
+    /// Whether the process that a message is for still runs.
+    fn is_for(&self, message: &InFlight, ms: u64) -> bool {
+        let is_same = self.nodes[message.proxy].incarnation == message.incarnation;
+        is_same && !self.is_down(message.proxy, ms)
+    }
+
+    fn receive_report(&mut self, ms: u64, message: &InFlight, reports: &[NamedCount]) {
+        let Some(term) = self.term(ms).filter(|term| *term == message.term) else {
+            return;
+        };
+        let now = Duration::from_millis(ms);
+        let totals = reports
+            .iter()
+            .map(|report| self.counts.record(message.incarnation, report, now));
+        let totals = totals.collect();
+        self.nodes[message.proxy].last_seen_ms = ms;
+        self.send(ms, message.proxy, term, Body::Totals(totals));
+    }
+
+    fn receive_heartbeat(
+        &mut self,
+        ms: u64,
+        message: &InFlight,
+        time_ms: i64,
+        (known, attached): (u32, u32),
+    ) {
+        let now = self.clock(message.proxy, ms);
+        let node = &mut self.nodes[message.proxy];
+        node.last_heard_ms = ms;
+        let quota = &mut node.metered.quota;
+        quota.set_proxies(known, attached, now);
+        // As in service: the first heartbeat of a term sets the common time.
+        if message.term > node.term {
+            node.term = message.term;
+            let offset_s = time_ms as f64 / 1000.0 - now.as_secs_f64();
+            quota.set_time_offset(offset_s);
+        }
+        quota.set_coordinator(node.term, true);
+    }
+
+    fn act_as_coordinator(&mut self, ms: u64) {
+        let Some(term) = self.term(ms) else {
+            return;
+        };
+        let is_new = term != self.counts_term;
+        if is_new {
+            self.counts_term = term;
+            self.counts = SharedCounts::default();
+            self.counts.set_rate(TENANT, self.scenario.rate);
+        }
+        if is_new || ms.is_multiple_of(HEARTBEAT_INTERVAL_MS) {
+            self.send_heartbeats(ms, term);
+        }
+        if ms.is_multiple_of(BROADCAST_INTERVAL_MS) {
+            let totals = self.counts.take_updates();
+            if !totals.is_empty() {
+                for proxy in 0..self.nodes.len() {
+                    self.send(ms, proxy, term, Body::Totals(totals.clone()));
+                }
+            }
+        }
+    }
+
+    fn send_heartbeats(&mut self, ms: u64, term: u64) {
+        let known = self.nodes.len() as u32;
+        for proxy in 0..self.nodes.len() {
+            if !self.is_cut(proxy, ms) && !self.is_down(proxy, ms) {
+                self.nodes[proxy].last_seen_ms = ms;
+            }
+        }
+        let is_attached = |node: &&Node| ms < node.last_seen_ms + ATTACHED_TIMEOUT_MS;
+        let attached = self.nodes.iter().filter(is_attached).count() as u32;
+        // Far from zero, so that a step back leaves it above the modules' times.
+        const COMMON_TIME_MS: i64 = 1_000_000;
+        let time_ms = COMMON_TIME_MS + ms as i64 + self.scenario.steps_ms[term as usize - 1];
+        for proxy in 0..self.nodes.len() {
+            let body = Body::Heartbeat {
+                time_ms,
+                known,
+                attached,
+            };
+            self.send(ms, proxy, term, body);
+        }
+    }
+
+    fn report(&mut self, ms: u64) {
+        for proxy in 0..self.nodes.len() {
+            if self.is_down(proxy, ms) {
+                continue;
+            }
+            let now = self.clock(proxy, ms);
+            let node = &mut self.nodes[proxy];
+            if ms >= node.last_heard_ms + SILENCE_TIMEOUT_MS {
+                node.metered.quota.disconnect();
+            }
+            if !ms.is_multiple_of(REPORT_INTERVAL_MS) {
+                continue;
+            }
+            let reports = node.metered.quota.take_reports(now);
+            if reports.is_empty() {
+                continue;
+            }
+            let term = node.term;
+            if self.random.random_bool(self.scenario.doubled) {
+                self.send_again_late(ms, proxy, term, reports.clone());
+            }
+            self.send(ms, proxy, term, Body::Report(reports));
+        }
+    }
+
+    fn send_again_late(&mut self, ms: u64, proxy: usize, term: u64, reports: Vec<NamedCount>) {
+        let before = self.in_flight.len();
+        self.send(ms, proxy, term, Body::Report(reports));
+        let late_by = self.random.random_range(50..1500);
+        for message in &mut self.in_flight[before..] {
+            message.due_ms += late_by;
+        }
+    }
+
+    fn request(&mut self, ms: u64) -> bool {
+        let proxy = self.random.random_range(0..self.nodes.len());
+        if self.is_down(proxy, ms) {
+            return false;
+        }
+        let now = self.clock(proxy, ms);
+        self.nodes[proxy].metered.request(now)
+    }
+}
--- a/crates/registry/src/counts.rs
+++ b/crates/registry/src/counts.rs
@@ -35,6 +35,21 @@
     last_report: Duration,
 }
 
+impl Count {
+    /// Takes the whole count of an incarnation; returns the units that were requested since the one before. What is requested
+    /// only grows: a report with less comes late, over a connection that was replaced, and changes nothing.
+    fn record(&mut self, incarnation: u64, reported: ProxyCount) -> f64 {
+        let known = self.by_incarnation.entry(incarnation).or_default();
+        if reported.requested < known.requested {
+            return 0.0;
+        }
+        let before = std::mem::replace(known, reported);
+        self.admitted += reported.admitted - before.admitted;
+        self.requested += reported.requested - before.requested;
+        reported.requested - before.requested
+    }
+}
+
 /// How fast units of a tenant are requested.
 #[derive(Debug, Default)]
 struct RequestRate {
@@ -82,10 +97,7 @@
             Some(known) => known,
             None => self.counts.entry(name.clone()).or_default(),
         };
-        let before = known.by_incarnation.insert(incarnation, reported);
-        let before = before.unwrap_or_default();
-        known.admitted += admitted - before.admitted;
-        known.requested += requested - before.requested;
+        let more_requested = known.record(incarnation, reported);
         known.last_report = now;
         let total = NamedCount {
             name: name.clone(),
@@ -93,7 +105,7 @@
             requested: known.requested,
         };
         if let Some(rate) = self.tenants.get_mut(tenant_of(name)) {
-            rate.add((requested - before.requested).max(0.0), now);
+            rate.add(more_requested, now);
             if rate.is_hot(now) {
                 self.updated.insert(name.clone());
             }
--- a/crates/registry/tests/counts.rs
+++ b/crates/registry/tests/counts.rs
@@ -38,3 +38,20 @@
     counts.record(1, &count("9/x", 1.0, 1.0), Duration::from_millis(4000));
     assert!(counts.take_updates().is_empty(), "it has been quiet since");
 }
+
+#[test]
+fn a_report_that_comes_late_takes_nothing_back_and_one_that_undoes_does() {
+    let mut counts = SharedCounts::default();
+    let mut record = |admitted, requested| {
+        let report = NamedCount {
+            name: "1/x".into(),
+            admitted,
+            requested,
+        };
+        counts.record(7, &report, Duration::ZERO).admitted
+    };
+    assert_eq!(record(5.0, 5.0), 5.0);
+    assert_eq!(record(9.0, 10.0), 9.0);
+    assert_eq!(record(5.0, 5.0), 9.0, "of a connection that was replaced");
+    assert_eq!(record(8.0, 10.0), 8.0, "admitted, then undone");
+}
