Quotas in silence: what is set aside counts for tenants that nobody reported; buckets begin small

Change: AllotmentStatus says what may be held of unlisted tenants; buckets begin with a tenth and fill 350 ms late. The system test of the directory expects each region's clients to be named their own proxy alone, as the decision now has it.

--- a/crates/control/src/allotment/ledger.rs
+++ b/crates/control/src/allotment/ledger.rs
@@ -33,6 +33,15 @@
     pub allotments: Vec<Allotment>,
 }
 
+/// What holders out of contact may hold.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AbsentAllotments {
+    /// By tenant.
+    pub by_tenant: Vec<Allotment>,
+    /// The parts of each tenant that is not listed.
+    pub of_unlisted: u32,
+}
+
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct Holder {
     /// At most, by tenant.
@@ -136,16 +145,16 @@
 
     /// Parts that holders may have which were not heard of in this term.
     fn set_aside(&self, tenant: &str, now: Duration) -> u32 {
-        if self.is_first || now >= self.began + HOLDER_EXPIRY {
+        if self.is_accounted(now) {
             return 0;
         }
         let reported = self.reported.get(tenant).copied().unwrap_or(0);
         PARTS.saturating_sub(reported)
     }
 
-    /// What holders out of contact may hold, by tenant. `misses_proxies`: proxies are known that are not in contact, which
-    /// may have what is set aside.
-    pub fn absent(&self, misses_proxies: bool, now: Duration) -> Vec<Allotment> {
+    /// What holders out of contact may hold. `misses_proxies`: proxies are known that are not in contact, which may have what
+    /// is set aside.
+    pub fn absent(&self, misses_proxies: bool, now: Duration) -> AbsentAllotments {
         let mut absent: BTreeMap<&str, u32> = BTreeMap::new();
         let holders = self.holders.values();
         for holder in holders.filter(|holder| !holder.is_present(now)) {
@@ -158,12 +167,25 @@
                 *absent.entry(tenant).or_default() += self.set_aside(tenant, now);
             }
         }
-        let absent = absent.into_iter().filter(|(_, parts)| *parts > 0);
         let allotment = |(tenant, parts): (&str, u32)| Allotment {
             tenant: tenant.to_owned(),
             parts,
         };
-        absent.map(allotment).collect()
+        // Of a tenant that nobody has reported all may be held.
+        let of_unlisted = if misses_proxies && !self.is_accounted(now) {
+            PARTS
+        } else {
+            0
+        };
+        AbsentAllotments {
+            by_tenant: absent.into_iter().map(allotment).collect(),
+            of_unlisted,
+        }
+    }
+
+    /// Whether all that may be held is known here.
+    fn is_accounted(&self, now: Duration) -> bool {
+        self.is_first || now >= self.began + HOLDER_EXPIRY
     }
 
     /// Divides the quotas anew by demand; returns the changes to be sent. Less goes out first: what it sets free is allotted
--- a/crates/control/src/allotment/mod.rs
+++ b/crates/control/src/allotment/mod.rs
@@ -24,7 +24,7 @@
 use std::time::Duration;
 
 pub use holding::AllotmentHolding;
-pub use ledger::{AllotmentChange, AllotmentLedger, TenantDemand};
+pub use ledger::{AbsentAllotments, AllotmentChange, AllotmentLedger, TenantDemand};
 
 /// All that is divided of a quota by demand.
 pub const PARTS: u32 = 1 << 20;
--- a/crates/control/src/messages/message.rs
+++ b/crates/control/src/messages/message.rs
@@ -266,8 +266,10 @@
         term: u64,
         /// Proxies that left by plan in this term and are not back.
         departed_proxies: u32,
-        /// What proxies hold that are out of contact, by tenant.
+        /// What proxies out of contact may hold, by tenant.
         absent: Vec<Allotment>,
+        /// The parts that they may hold of each tenant that is not listed.
+        absent_of_unlisted: u32,
     },
     /// From a proxy, to all registries: it is ending, and admits nothing any more.
     Departed,
--- a/crates/control/tests/wire_format.rs
+++ b/crates/control/tests/wire_format.rs
@@ -202,6 +202,7 @@
             term: 9,
             departed_proxies: 2,
             absent: allotments,
+            absent_of_unlisted: 0x10_0000,
         },
         Message::Departed,
     ]
--- a/crates/ctl/tests/system/main.rs
+++ b/crates/ctl/tests/system/main.rs
@@ -233,14 +233,18 @@
     cluster.until("all serve again", |_| {
         edges.iter().all(|e| serves(*e, "/z/"))
     });
-    cluster.until("the directory knows both again", |s| {
-        let look = "GET /-/lookup?name=a.example&region=east&zone=a";
-        s.machines.iter().filter(|m| m.core).all(|m| {
-            let told = String::from_utf8_lossy(&cluster::call(m.at(DIRECTORY), look, "").body)
-                .into_owned();
-            edges.iter().all(|e| told.contains(&e.to_string()))
-        })
-    });
+    // Each region has one, which its clients are named alone: neither was lost since these registries started.
+    for (place, edge) in [("region=east&zone=a", 0), ("region=west&zone=b", 1)] {
+        let look = format!("GET /-/lookup?name=a.example&{place}");
+        cluster.until("the directory knows both again", |s| {
+            s.machines.iter().filter(|m| m.core).all(|m| {
+                let answer = cluster::call(m.at(DIRECTORY), &look, "");
+                let named = String::from_utf8_lossy(&answer.body).into_owned();
+                let is_named = |number: usize| named.contains(&edges[number].to_string());
+                is_named(edge) && !is_named(1 - edge)
+            })
+        });
+    }
 
     // An evacuation; and a proxy that is told to end leaves the directory first and ends by itself.
     assert_eq!(cluster.order("POST /-/evacuations/b", "").status(), 200);
--- a/crates/proxy/src/control_client/mod.rs
+++ b/crates/proxy/src/control_client/mod.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use damsonbeam_control::address::{Ip, ip_addr};
+use damsonbeam_control::allotment::AbsentAllotments;
 use damsonbeam_control::link;
 use damsonbeam_control::messages::{Allotment, Backend, Heartbeat, Message, NamedCount};
 use damsonbeam_control::settings::{InternalPort, Settings};
@@ -64,8 +65,8 @@
         term: u64,
         /// Proxies that left by plan in this term and are not back.
         departed_proxies: u32,
-        /// What proxies hold that are out of contact, by tenant.
-        absent: Vec<Allotment>,
+        /// What proxies out of contact may hold.
+        absent: AbsentAllotments,
     },
     /// The connection to the coordinator is lost.
     CoordinatorLost,
--- a/crates/proxy/src/control_client/session.rs
+++ b/crates/proxy/src/control_client/session.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use damsonbeam_control::address::{Ip, ip_addr};
+use damsonbeam_control::allotment::AbsentAllotments;
 use damsonbeam_control::link::MessageSender;
 use damsonbeam_control::messages::{BackendList, Heartbeat, Message, TransferMessage};
 use tokio::time::Instant;
@@ -79,10 +80,14 @@
                 term,
                 departed_proxies,
                 absent,
+                absent_of_unlisted,
             } => Some(ControlEvent::AllotmentStatus {
                 term,
                 departed_proxies,
-                absent,
+                absent: AbsentAllotments {
+                    by_tenant: absent,
+                    of_unlisted: absent_of_unlisted,
+                },
             }),
             Message::Partners { near, far } => Some(ControlEvent::Partners { near, far }),
             _ => None,
--- a/crates/proxy/src/quota/mod.rs
+++ b/crates/proxy/src/quota/mod.rs
@@ -23,7 +23,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use damsonbeam_control::allotment::{AllotmentHolding, EQUAL_PART, PARTS};
+use damsonbeam_control::allotment::{AbsentAllotments, AllotmentHolding, EQUAL_PART, PARTS};
 use damsonbeam_control::messages::{Allotment, Heartbeat, NamedCount};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -71,6 +71,13 @@
 /// Between two searches for names to forget.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(4);
 
+/// What proxies out of contact may hold.
+#[derive(Debug)]
+struct AbsentParts {
+    by_tenant: HashMap<String, u32>,
+    of_unlisted: u32,
+}
+
 /// The shared counts as seen from one proxy.
 #[derive(Debug)]
 pub struct QuotaCounter {
@@ -83,7 +90,7 @@
     /// The coordinator that is connected has not been told what is held here.
     owes_holding_report: bool,
     /// What proxies out of contact hold, by tenant; `None`: the coordinator has not said.
-    absent: Option<HashMap<String, u32>>,
+    absent: Option<AbsentParts>,
     /// How many times the coordinator has fallen silent, and whether it is silent now.
     silences: u64,
     is_silent: bool,
@@ -222,7 +229,7 @@
         &mut self,
         term: u64,
         departed_proxies: u32,
-        absent: &[Allotment],
+        absent: &AbsentAllotments,
         now: Duration,
     ) {
         if term != self.term {
@@ -230,9 +237,12 @@
         }
         self.holding.renew(term, now);
         self.proxy_number.set_departed(departed_proxies);
-        let absent = absent.iter();
-        let absent = absent.map(|allotment| (allotment.tenant.clone(), allotment.parts));
-        self.absent = Some(absent.collect());
+        let by_tenant = absent.by_tenant.iter();
+        let by_tenant = by_tenant.map(|allotment| (allotment.tenant.clone(), allotment.parts));
+        self.absent = Some(AbsentParts {
+            by_tenant: by_tenant.collect(),
+            of_unlisted: absent.of_unlisted,
+        });
     }
 
     /// This proxy's share of a tenant's quota while it hears nothing of the others.
@@ -246,7 +256,8 @@
         let out_of_contact = 1.0 - (self.attached / self.proxies).min(1.0);
         let absent = match &self.absent {
             Some(absent) => {
-                let parts = absent.get(tenant).copied().unwrap_or(0);
+                let parts = absent.by_tenant.get(tenant);
+                let parts = parts.copied().unwrap_or(absent.of_unlisted);
                 let allotted = f64::from(parts.min(PARTS)) / f64::from(PARTS);
                 EQUAL_PART * out_of_contact + (1.0 - EQUAL_PART) * allotted
             }
--- a/crates/proxy/src/quota/silence.rs
+++ b/crates/proxy/src/quota/silence.rs
@@ -9,10 +9,14 @@
 use std::time::Duration;
 
 /// What the buckets of all proxies begin with, as a part of what is tolerated.
-const INITIAL_PART: f64 = 0.35;
+const INITIAL_PART: f64 = 0.1;
 /// What the buckets of all proxies hold beyond the burst, as a part of what is tolerated: the rest is for chance.
 const SAVED_PART: f64 = 0.6;
 
+/// A bucket begins to fill this late: a coordinator that is still there, and only out of reach of this proxy, leaves its
+/// share to the others until it misses it.
+const FILL_DELAY: Duration = Duration::from_millis(350);
+
 /// How far the operators tolerate that quotas are exceeded.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct QuotaTolerance {
@@ -72,7 +76,7 @@
     pub(super) fn begin(quota: QuotaShare, now: Duration) -> Self {
         TokenBucket {
             tokens: quota.initial(),
-            filled_at: now,
+            filled_at: now + FILL_DELAY,
             refused: 0.0,
         }
     }
@@ -80,12 +84,12 @@
     /// Another silence begins soon after the last: what is left of it is not filled up for the time in between.
     pub(super) fn resume(&mut self, quota: QuotaShare, now: Duration) {
         self.tokens = self.tokens.min(quota.initial());
-        self.filled_at = now;
+        self.filled_at = now + FILL_DELAY;
     }
 
     fn fill(&mut self, quota: QuotaShare, now: Duration) {
         let elapsed_s = now.saturating_sub(self.filled_at).as_secs_f64();
-        self.filled_at = now;
+        self.filled_at = self.filled_at.max(now);
         let filled = self.tokens + quota.share * quota.rate * elapsed_s;
         self.tokens = filled.min(quota.most());
     }
--- a/crates/proxy/tests/quota.rs
+++ b/crates/proxy/tests/quota.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use damsonbeam_control::allotment::{AllotmentLedger, EQUAL_PART, PARTS};
+use damsonbeam_control::allotment::{AbsentAllotments, AllotmentLedger, EQUAL_PART, PARTS};
 use damsonbeam_control::messages::{Allotment, Heartbeat, NamedCount};
 use damsonbeam_proxy::quota::{ASSUMED_PROXIES, QuotaCounter, is_proxy_count_usable};
 use damsonbeam_registry::counts::SharedCounts;
@@ -137,7 +137,9 @@
 ) {
     for (number, proxy) in (0..).zip(&mut *proxies) {
         ledger.see(number, now);
-        proxy.quota.receive_allotment_status(1, 0, &[], now);
+        proxy
+            .quota
+            .receive_allotment_status(1, 0, &AbsentAllotments::default(), now);
     }
     for change in ledger.divide(&totals.take_demands(), now) {
         let quota = &mut proxies[change.incarnation as usize].quota;
@@ -369,13 +371,25 @@
         tenant: TENANT.into(),
         parts: PARTS / 2,
     };
-    counter.receive_allotment_status(1, 0, &[absent], at(0));
+    let absent = AbsentAllotments {
+        by_tenant: vec![absent],
+        of_unlisted: PARTS,
+    };
+    counter.receive_allotment_status(1, 0, &absent, at(0));
     // A tenth of three tenths, and half of seven.
     let total = counter.add("7/x", 0.0, at(0));
     assert!((total - 8.0 / 0.62).abs() < 1e-6, "{total}");
-    counter.receive_allotment_status(1, 0, &[], at(0));
+    counter.receive_allotment_status(1, 0, &AbsentAllotments::default(), at(0));
     let total = counter.add("7/x", 0.0, at(0));
     assert!((total - 8.0 / 0.97).abs() < 1e-6, "{total}");
+    // A coordinator that has just begun: they may hold all of a tenant that nobody has reported.
+    let unknown = AbsentAllotments {
+        by_tenant: vec![],
+        of_unlisted: PARTS,
+    };
+    counter.receive_allotment_status(1, 0, &unknown, at(0));
+    let total = counter.add("7/x", 0.0, at(0));
+    assert!((total - 8.0 / 0.27).abs() < 1e-6, "{total}");
 }
 
 #[test]
@@ -383,7 +397,7 @@
     let mut counter = QuotaCounter::default();
     counter.set_coordinator(1, true);
     assert_eq!(counter.set_proxies(10, 10, at(0)), 10);
-    counter.receive_allotment_status(1, 7, &[], at(100));
+    counter.receive_allotment_status(1, 7, &AbsentAllotments::default(), at(100));
     assert_eq!(counter.set_proxies(3, 3, at(400)), 3);
     // Another coordinator has met two of them yet, and none that left.
     counter.set_coordinator(2, true);
--- a/crates/proxy/tests/quota_worlds/main.rs
+++ b/crates/proxy/tests/quota_worlds/main.rs
@@ -52,10 +52,11 @@
     }
 }
 
-/// The common time steps far while the coordinator changes: worlds that were over the bound when slots in use were renamed.
+/// Worlds that were once over the bound: in the first two the common time steps far while the coordinator changes, in the
+/// others a coordinator begins that has no report of a proxy that goes on in silence.
 #[test]
 fn worlds_that_were_over_the_bound_stay_below_it() {
-    for seed in [5547, 6059] {
+    for seed in [5547, 6059, 6453, 6978, 7265, 8307] {
         let world = Scenario::drawn(seed);
         let most = most_admitted(&World::play(&world)) as f64;
         let bound = most_in_five_seconds(world.rate);
--- a/crates/proxy/tests/quota_worlds/world.rs
+++ b/crates/proxy/tests/quota_worlds/world.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use damsonbeam_control::allotment::AllotmentLedger;
+use damsonbeam_control::allotment::{AbsentAllotments, AllotmentLedger};
 use damsonbeam_control::messages::{Allotment, NamedCount};
 use damsonbeam_registry::counts::SharedCounts;
 use rand::rngs::SmallRng;
@@ -203,7 +203,7 @@
     /// To the coordinator: a change was taken.
     AllotmentsSet(u64),
     /// To a proxy: its report is known; what those out of contact hold.
-    AllotmentStatus(Vec<Allotment>),
+    AllotmentStatus(AbsentAllotments),
 }
 
 struct Node {
--- a/crates/registry/src/allotments.rs
+++ b/crates/registry/src/allotments.rs
@@ -61,10 +61,12 @@
         };
         let attached = self.proxies.attached_count(now);
         let misses_proxies = self.proxies.known_count(now) > attached;
+        let absent = self.role.allotments().absent(misses_proxies, now);
         let message = Message::AllotmentStatus {
             term,
             departed_proxies: self.proxies.departed_count() as u32,
-            absent: self.role.allotments().absent(misses_proxies, now),
+            absent: absent.by_tenant,
+            absent_of_unlisted: absent.of_unlisted,
         };
         for (_, session) in self.proxies.all() {
             let incarnation = session.status().incarnation;
