--- a/crates/proxy/src/quota/mod.rs
+++ b/crates/proxy/src/quota/mod.rs
@@ -11,28 +11,30 @@
 //! Where the coordinator does not answer, this proxy keeps to its share: an equal part, and what it was allotted
 //! (`damsonbeam_control::allotment`).
 //!
-//! `count` is one count and one tenant, `rate` units over time, `slot_naming` the names of slots, `silence` what is admitted
-//! while the coordinator is silent, `proxy_number` how many proxies there are.
+//! `reports` is what goes to the coordinator and comes back, `share` this proxy's share of each quota, `silence` the bucket
+//! that it admits by while the coordinator is silent; `count` is one count and one tenant, `rate` units over time,
+//! `slot_naming` the names of slots, `proxy_number` how many proxies there are.
 
 mod count;
 mod proxy_number;
 mod rate;
+mod reports;
+mod share;
 mod silence;
 mod slot_naming;
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use damsonbeam_control::allotment::{AbsentAllotments, AllotmentHolding, EQUAL_PART, PARTS};
-use damsonbeam_control::messages::{Allotment, Heartbeat, NamedCount};
+use damsonbeam_control::allotment::AllotmentHolding;
+use damsonbeam_control::messages::Heartbeat;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use count::{Count, REPORT_AGE, Tenant, Units};
+use count::{Count, REPORT_AGE, Tenant};
 use proxy_number::ProxyNumber;
-use rate::RATE_SPAN;
+use share::AbsentParts;
 pub use silence::QuotaTolerance;
-use silence::{QuotaShare, TokenBucket};
 use slot_naming::SlotNaming;
 
 /// The coordinator is silent once a report to it has had no answer for this long: several round trips.
@@ -57,27 +59,11 @@
 /// The number of proxies taken as given before anybody reports one: a fresh proxy among others must not use the quota
 /// alone.
 pub const ASSUMED_PROXIES: u32 = 24;
-/// What the proxies in contact may use together is taken to be at least this part of a quota.
-const LEAST_PRESENT_PART: f64 = 0.05;
-/// A client that is refused by a share and not by the quota comes back after this, to another proxy most likely.
-const NEXT_PROXY_AFTER_S: f64 = 0.05;
-/// Requests this many times what a share admits are a surge, if they are more than chance brings in the time of a rate.
-const SURGE_FACTOR: f64 = 2.0;
-const SURGE_LEAST_RATE_PER_S: f64 = 6.0;
-/// Between two reports of tenants that are not near their quotas.
-const CALM_INTERVAL: Duration = Duration::from_millis(150);
 /// Names are kept longer than any window.
 const RETENTION: Duration = Duration::from_secs(16);
 /// Between two searches for names to forget.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(4);
 
-/// What proxies out of contact may hold.
-#[derive(Debug)]
-struct AbsentParts {
-    by_tenant: HashMap<String, u32>,
-    of_unlisted: u32,
-}
-
 /// The shared counts as seen from one proxy.
 #[derive(Debug)]
 pub struct QuotaCounter {
@@ -202,116 +188,6 @@
         self.is_connected = is_connected;
     }
 
-    /// What the coordinator that has been connected is to be told of what is held here, and its term; `None` where it was
-    /// told.
-    pub fn take_holding_report(&mut self, now: Duration) -> Option<(u64, Vec<Allotment>)> {
-        let is_owed = self.is_connected && self.connected_term == self.term;
-        if !is_owed || !std::mem::take(&mut self.owes_holding_report) {
-            return None;
-        }
-        Some((self.term, self.holding.report(now)))
-    }
-
-    /// Takes a change of what is held here; returns whether it is to be acknowledged.
-    pub fn change_allotments(
-        &mut self,
-        term: u64,
-        revision: u64,
-        allotments: &[Allotment],
-        now: Duration,
-    ) -> bool {
-        self.holding.change(term, revision, allotments, now)
-    }
-
-    /// Takes the coordinator's word that it has this proxy's report, how many proxies have left by plan in its term, and what
-    /// those out of contact hold.
-    pub fn receive_allotment_status(
-        &mut self,
-        term: u64,
-        departed_proxies: u32,
-        absent: &AbsentAllotments,
-        now: Duration,
-    ) {
-        if term != self.term {
-            return;
-        }
-        self.holding.renew(term, now);
-        self.proxy_number.set_departed(departed_proxies);
-        let by_tenant = absent.by_tenant.iter();
-        let by_tenant = by_tenant.map(|allotment| (allotment.tenant.clone(), allotment.parts));
-        self.absent = Some(AbsentParts {
-            by_tenant: by_tenant.collect(),
-            of_unlisted: absent.of_unlisted,
-        });
-    }
-
-    /// This proxy's share of a tenant's quota while it hears nothing of the others.
-    fn own_share(&self, tenant: &str, now: Duration) -> f64 {
-        let allotted = f64::from(self.holding.parts(tenant, now)) / f64::from(PARTS);
-        EQUAL_PART / self.proxies + (1.0 - EQUAL_PART) * allotted
-    }
-
-    /// The part of a tenant's quota that is left to the proxies in contact with the coordinator.
-    fn present_part(&self, tenant: &str) -> f64 {
-        let out_of_contact = 1.0 - (self.attached / self.proxies).min(1.0);
-        let absent = match &self.absent {
-            Some(absent) => {
-                let parts = absent.by_tenant.get(tenant);
-                let parts = parts.copied().unwrap_or(absent.of_unlisted);
-                let allotted = f64::from(parts.min(PARTS)) / f64::from(PARTS);
-                EQUAL_PART * out_of_contact + (1.0 - EQUAL_PART) * allotted
-            }
-            None => out_of_contact,
-        };
-        (1.0 - absent).max(LEAST_PRESENT_PART)
-    }
-
-    /// Whether the coordinator is silent now, for a request of a tenant with a quota; counts the silences.
-    fn note_silence(&mut self, now: Duration) -> bool {
-        let is_silent = self.is_coordinator_silent(now);
-        if is_silent && !self.is_silent {
-            self.silences += 1;
-        }
-        self.is_silent = is_silent;
-        is_silent
-    }
-
-    /// Whether units of a tenant are within this proxy's share, where nothing is heard of the others.
-    fn admit_in_silence(&mut self, tenant: &str, units: f64, now: Duration) -> bool {
-        let share = self.own_share(tenant, now);
-        let silences = self.silences;
-        let tolerance = self.tolerance;
-        let random = self.random.random();
-        let Some(tenant) = self.tenants.get_mut(tenant) else {
-            return true;
-        };
-        if tenant.rate <= 0.0 {
-            return true;
-        }
-        let quota = QuotaShare {
-            rate: tenant.rate,
-            burst: tenant.burst(),
-            share,
-            tolerance,
-        };
-        let (last_silence, bucket) = tenant
-            .bucket
-            .get_or_insert_with(|| (silences, TokenBucket::begin(quota, now)));
-        if *last_silence != silences {
-            *last_silence = silences;
-            bucket.resume(quota, now);
-        }
-        bucket.take(units, quota, random, now)
-    }
-
-    /// The module takes back what it has not admitted after all.
-    fn undo_in_silence(&mut self, tenant: &str, units: f64) {
-        let tenant = self.tenants.get_mut(tenant);
-        if let Some((_, bucket)) = tenant.and_then(|tenant| tenant.bucket.as_mut()) {
-            bucket.undo(units);
-        }
-    }
-
     /// Sets the common time less the module's, in seconds: slots are named by the common time.
     pub fn set_time_offset(&mut self, offset_s: f64, now: Duration) {
         self.naming.set_offset(offset_s, now);
@@ -385,38 +261,6 @@
         total + self.refusal(&tenant, units, now)
     }
 
-    /// What is added to a total so that units are refused, whatever it is; 0 where they are not. Negative units undo.
-    fn refusal(&mut self, tenant: &str, units: f64, now: Duration) -> f64 {
-        if self.note_silence(now) {
-            if units < 0.0 {
-                self.undo_in_silence(tenant, -units);
-            }
-            if units > 0.0 && !self.admit_in_silence(tenant, units, now) {
-                return self.refusal_in_silence(tenant, now);
-            }
-        } else if units > 0.0 && self.is_refused_at_random(tenant, now) {
-            return OVER_ANY_QUOTA;
-        }
-        0.0
-    }
-
-    /// What is added to a total for a refusal while the coordinator is silent. The module advises clients to come back once
-    /// what exceeds the quota has gone by. Other proxies have shares of their own: where no more is requested than this one
-    /// may admit, a client is sent on to the next one soon.
-    fn refusal_in_silence(&self, tenant: &str, now: Duration) -> f64 {
-        let share = self.own_share(tenant, now);
-        let Some(tenant) = self.tenants.get(tenant) else {
-            return OVER_ANY_QUOTA;
-        };
-        let requested = tenant.requested.rate(now);
-        let is_surge =
-            requested > SURGE_FACTOR * share * tenant.rate && requested > SURGE_LEAST_RATE_PER_S;
-        if is_surge {
-            return OVER_ANY_QUOTA;
-        }
-        tenant.burst() + tenant.rate * NEXT_PROXY_AFTER_S
-    }
-
     fn sweep_when_due(&mut self, now: Duration) {
         if now >= self.last_sweep + SWEEP_INTERVAL {
             self.last_sweep = now;
@@ -493,101 +337,4 @@
         let expected = tenant.others.rate(now).max(shares) * unknown_s;
         (known + expected.max(alike)) * scale
     }
-
-    /// What the coordinator has not got yet: names, and all that this proxy has admitted and was asked for under each.
-    pub fn take_reports(&mut self, now: Duration) -> Vec<NamedCount> {
-        if !self.is_connected {
-            return vec![];
-        }
-        let is_calm = self
-            .last_calm_report
-            .is_some_and(|at| now < at + CALM_INTERVAL);
-        let tenants = &self.tenants;
-        // Far from its quota, a tenant's counts can wait for others to go along; the other proxies reckon with its rate
-        // meanwhile.
-        let may_wait = |count: &Count| {
-            let tenant = tenants.get(&count.tenant);
-            is_calm && tenant.is_none_or(|tenant| now >= tenant.near_quota_until)
-        };
-        let mut reports = Vec::new();
-        for (name, count) in &mut self.counts {
-            let is_final = count.needs_final_report(now);
-            let has_changed = count.reported.unwrap_or_default() != count.own;
-            if !(has_changed || is_final) || may_wait(count) {
-                continue;
-            }
-            count.reported = Some(count.own);
-            count.has_final_report |= is_final;
-            reports.push(NamedCount {
-                name: name.clone(),
-                admitted: count.own.admitted,
-                requested: count.own.requested,
-            });
-        }
-        if !is_calm {
-            self.last_calm_report = Some(now);
-        }
-        if !reports.is_empty() {
-            self.unanswered_since.get_or_insert(now);
-        }
-        reports
-    }
-
-    /// Takes the totals of the coordinator of a term. Of a name not used here yet, it reports because its tenant is near its
-    /// quota. Totals of an earlier term come from a registry that has lost the lease: they change nothing.
-    pub fn receive_totals(&mut self, term: u64, totals: &[NamedCount], now: Duration) {
-        if term < self.term {
-            return;
-        }
-        self.term = term;
-        self.unanswered_since = None;
-        for total in totals {
-            if !self.counts.contains_key(&total.name) {
-                self.add_reported_name(&total.name, now);
-            }
-            self.receive_total(total, now);
-        }
-    }
-
-    fn add_reported_name(&mut self, name: &str, now: Duration) {
-        let Some((_, tenant)) = split_name(name) else {
-            return;
-        };
-        let tenant = tenant.to_owned();
-        let slot_end = self.slot_end(name);
-        let known_tenant = self.tenants.entry(tenant.clone()).or_default();
-        known_tenant.near_quota_until = now + NEAR_QUOTA_TIME;
-        let count = Count {
-            tenant,
-            first_use: now,
-            last_use: now,
-            slot_end,
-            reported: Some(Units::default()),
-            ..Count::default()
-        };
-        self.counts.insert(name.to_owned(), count);
-    }
-
-    fn receive_total(&mut self, total: &NamedCount, now: Duration) {
-        let Some(count) = self.counts.get_mut(&total.name) else {
-            return;
-        };
-        // What was once reported of the others stays true, whoever is the coordinator.
-        let reported = count.reported.unwrap_or_default();
-        let others = Units {
-            admitted: (total.admitted - reported.admitted).max(count.others.admitted),
-            requested: (total.requested - reported.requested).max(count.others.requested),
-        };
-        let more_admitted = others.admitted - count.others.admitted;
-        let more_requested = others.requested - count.others.requested;
-        count.others = others;
-        count.last_totals = Some(now);
-        // A coordinator that has just begun reports slots that are long over: nothing of them is the rate of now.
-        let is_lately = count.slot_end.is_zero() || now < count.slot_end + RATE_SPAN;
-        if is_lately {
-            let tenant = self.tenants.entry(count.tenant.clone()).or_default();
-            tenant.others.add(more_admitted, now);
-            tenant.others_requested.add(more_requested, now);
-        }
-    }
 }
--- a/crates/proxy/tests/quota_worlds/main.rs
+++ b/crates/proxy/tests/quota_worlds/main.rs
@@ -7,10 +7,12 @@
 
 #[path = "../quota_support/mod.rs"]
 mod quota_support;
+mod scenario;
 mod world;
 
 use quota_support::{most_admitted, most_in_five_seconds};
-use world::{Fault, Scenario, Span, World};
+use scenario::{Fault, Scenario, Span};
+use world::World;
 
 /// Worlds played where nothing else is asked for.
 const WORLDS: u64 = 40;
