Quota counter: the field's words; the ledger's division in steps

Renamed: silence to outage, out of contact, token_bucket; the division of a tenant's allotments is wishes, then what is free for them. No behaviour changes.

--- a/crates/control/src/allotment/ledger.rs
+++ b/crates/control/src/allotment/ledger.rs
@@ -233,48 +233,66 @@
         now: Duration,
     ) -> Vec<(u64, Allotment)> {
         let tenant = &demand.tenant;
-        let of = |incarnation: &u64| demand.by_incarnation.get(incarnation).copied();
+        let wishes = self.wishes(demand, ready, now);
+        let wanted: u64 = wishes.iter().map(Wish::wanted).sum();
+        if wanted == 0 {
+            return vec![];
+        }
+        let free = u64::from(PARTS.saturating_sub(self.allotted(tenant, now)));
+        let granted = free.min(wanted);
+        let changes = wishes.into_iter().filter_map(|wish| {
+            let share = (granted * wish.wanted() / wanted) as u32;
+            let parts = wish.target.min(wish.held + share);
+            let allotment = Allotment {
+                tenant: tenant.clone(),
+                parts,
+            };
+            (parts != wish.held).then_some((wish.incarnation, allotment))
+        });
+        changes.collect()
+    }
+
+    /// What each ready holder is to hold by the demand, where that differs enough from what it holds.
+    fn wishes(&self, demand: &TenantDemand, ready: &BTreeSet<u64>, now: Duration) -> Vec<Wish> {
+        let demand_at = |incarnation: &u64| {
+            let units = demand.by_incarnation.get(incarnation);
+            units.copied().unwrap_or(0.0)
+        };
         let present = self
             .holders
             .iter()
             .filter(|(_, holder)| holder.is_present(now));
-        let total: f64 = present.filter_map(|(incarnation, _)| of(incarnation)).sum();
+        let total: f64 = present.map(|(incarnation, _)| demand_at(incarnation)).sum();
         if total <= 0.0 {
             return vec![];
         }
         let least = LEAST_CHANGE.min(PARTS / (2 * self.holders.len().max(1) as u32));
-        let mut less = Vec::new();
-        let mut more = Vec::new();
-        for incarnation in ready {
-            let held = self.holders[incarnation].parts(tenant);
-            let target = (of(incarnation).unwrap_or(0.0) / total * f64::from(PARTS)) as u32;
-            let least = least.max((f64::from(held) * LEAST_RELATIVE_CHANGE) as u32);
-            if target.abs_diff(held) < least {
-                continue;
-            }
-            if target > held {
-                more.push((*incarnation, held, target - held));
-            } else {
-                less.push((*incarnation, target));
-            }
-        }
-        let wanted: u64 = more.iter().map(|(_, _, wanted)| u64::from(*wanted)).sum();
-        if wanted == 0 {
-            return vec![];
-        }
-        let free = u64::from(PARTS.saturating_sub(self.allotted(tenant, now)));
-        let granted = free.min(wanted);
-        let allotment = |parts| Allotment {
-            tenant: tenant.clone(),
-            parts,
+        let wish = |incarnation: &u64| Wish {
+            incarnation: *incarnation,
+            held: self.holders[incarnation].parts(&demand.tenant),
+            target: (demand_at(incarnation) / total * f64::from(PARTS)) as u32,
         };
-        let less = less
-            .into_iter()
-            .map(|(incarnation, target)| (incarnation, allotment(target)));
-        let more = more.into_iter().filter_map(|(incarnation, held, wants)| {
-            let share = (granted * u64::from(wants) / wanted) as u32;
-            (share > 0).then(|| (incarnation, allotment(held + share)))
-        });
-        less.chain(more).collect()
+        let wishes = ready.iter().map(wish);
+        wishes.filter(|wish| wish.is_worth_it(least)).collect()
+    }
+}
+
+/// What a holder is to hold.
+struct Wish {
+    incarnation: u64,
+    held: u32,
+    target: u32,
+}
+
+impl Wish {
+    /// Whether the change is large enough to be sent.
+    fn is_worth_it(&self, least: u32) -> bool {
+        let least_of_held = (f64::from(self.held) * LEAST_RELATIVE_CHANGE) as u32;
+        self.target.abs_diff(self.held) >= least.max(least_of_held)
+    }
+
+    /// The parts that it lacks.
+    fn wanted(&self) -> u64 {
+        u64::from(self.target.saturating_sub(self.held))
     }
 }
--- a/crates/proxy/src/quota/count.rs
+++ b/crates/proxy/src/quota/count.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::rate::RollingSum;
-use super::silence::TokenBucket;
+use super::token_bucket::TokenBucket;
 
 /// What the coordinator reports of the others is this old when it arrives: their reports' interval and way, and its own
 /// way here.
@@ -62,7 +62,7 @@
     /// Requested at the others.
     pub(super) others_requested: RollingSum,
     pub(super) near_quota_until: Duration,
-    /// What this proxy admits while the coordinator is silent, and in which silence that was last asked for.
+    /// What this proxy admits without the coordinator, and in which outage that was last asked for.
     pub(super) bucket: Option<(u64, TokenBucket)>,
 }
 
--- a/crates/proxy/src/quota/mod.rs
+++ b/crates/proxy/src/quota/mod.rs
@@ -11,8 +11,8 @@
 //! Where the coordinator does not answer, this proxy keeps to its share: an equal part, and what it was allotted
 //! (`damsonbeam_control::allotment`).
 //!
-//! `reports` is what goes to the coordinator and comes back, `share` this proxy's share of each quota, `silence` the bucket
-//! that it admits by while the coordinator is silent; `count` is one count and one tenant, `rate` units over time,
+//! `reports` is what goes to the coordinator and comes back, `share` this proxy's share of each quota, `token_bucket` the
+//! bucket that it admits by without the coordinator; `count` is one count and one tenant, `rate` units over time,
 //! `slot_naming` the names of slots, `proxy_number` how many proxies there are.
 
 mod count;
@@ -20,8 +20,8 @@
 mod rate;
 mod reports;
 mod share;
-mod silence;
 mod slot_naming;
+mod token_bucket;
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -34,12 +34,12 @@
 use count::{Count, REPORT_AGE, Tenant};
 use proxy_number::ProxyNumber;
 use share::AbsentParts;
-pub use silence::QuotaTolerance;
 use slot_naming::SlotNaming;
+pub use token_bucket::QuotaTolerance;
 
-/// The coordinator is silent once a report to it has had no answer for this long: several round trips.
+/// The coordinator is unresponsive once a report to it has had no answer for this long: several round trips.
 const COORDINATOR_TIMEOUT: Duration = Duration::from_millis(600);
-/// The coordinator is silent once it has not renewed this proxy's allotment for this long: two heartbeats, and their ways. A
+/// The coordinator is unresponsive once it has not renewed this proxy's allotment for this long: two heartbeats, and their ways. A
 /// proxy that has nothing to report would not notice otherwise.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Between two renewals.
@@ -82,9 +82,9 @@
     owes_holding_report: bool,
     /// What proxies out of contact hold, by tenant; `None`: the coordinator has not said.
     absent: Option<AbsentParts>,
-    /// How many times the coordinator has fallen silent, and whether it is silent now.
-    silences: u64,
-    is_silent: bool,
+    /// How many times the coordinator was out of contact, and whether it is now.
+    outages: u64,
+    is_out_of_contact: bool,
     is_connected: bool,
     /// The highest term of a coordinator that is known.
     term: u64,
@@ -137,8 +137,8 @@
             holding: AllotmentHolding::default(),
             owes_holding_report: true,
             absent: None,
-            silences: 0,
-            is_silent: false,
+            outages: 0,
+            is_out_of_contact: false,
             is_connected: false,
             term: 0,
             connected_term: 0,
@@ -232,7 +232,7 @@
     }
 
     /// Whether nothing is known of the others: the coordinator is not connected, or does not answer.
-    fn is_coordinator_silent(&self, now: Duration) -> bool {
+    fn is_coordinator_unresponsive(&self, now: Duration) -> bool {
         let is_overdue = |since: Duration| now >= since + COORDINATOR_TIMEOUT;
         let is_not_renewed = |last: Duration| now >= last + STATUS_TIMEOUT;
         !self.is_connected
@@ -310,12 +310,12 @@
     /// surge by what it admits itself, and all at once would admit whatever comes until they hear of each other: so each
     /// admits the part that the quota is of what all are asked for.
     fn is_refused_at_random(&mut self, tenant: &str, now: Duration) -> bool {
-        let is_silent = self.is_coordinator_silent(now);
+        let is_out_of_contact = self.is_coordinator_unresponsive(now);
         let Some(tenant) = self.tenants.get(tenant) else {
             return false;
         };
         let is_near_quota = tenant.rate > 0.0 && now < tenant.near_quota_until;
-        if !is_near_quota || is_silent {
+        if !is_near_quota || is_out_of_contact {
             return false;
         }
         let is_seldom = tenant.rate * REPORT_AGE.as_secs_f64() * 2.0 < SELDOM_UNITS * self.proxies;
@@ -330,7 +330,7 @@
         let others = self.proxies.max(1.0) - 1.0;
         let known = count.own.admitted + count.others.admitted;
         let tenant = self.tenants.get(&count.tenant);
-        if self.is_coordinator_silent(now) {
+        if self.is_coordinator_unresponsive(now) {
             let has_quota = tenant.is_some_and(|tenant| tenant.rate > 0.0);
             return if has_quota {
                 known
--- a/crates/proxy/src/quota/share.rs
+++ b/crates/proxy/src/quota/share.rs
@@ -1,4 +1,4 @@
-//! This proxy's share of each quota: what it holds, what it admits by it while the coordinator is silent, and what is left to
+//! This proxy's share of each quota: what it holds, what it admits by it without the coordinator, and what is left to
 //! the proxies in contact.
 
 use std::collections::HashMap;
@@ -8,7 +8,7 @@
 use damsonbeam_control::messages::Allotment;
 use rand::Rng;
 
-use super::silence::{QuotaShare, TokenBucket};
+use super::token_bucket::{QuotaShare, TokenBucket};
 use super::{OVER_ANY_QUOTA, QuotaCounter};
 
 /// What the proxies in contact may use together is taken to be at least this part of a quota.
@@ -92,20 +92,20 @@
         (1.0 - absent).max(LEAST_PRESENT_PART)
     }
 
-    /// Whether the coordinator is silent now, for a request of a tenant with a quota; counts the silences.
-    fn note_silence(&mut self, now: Duration) -> bool {
-        let is_silent = self.is_coordinator_silent(now);
-        if is_silent && !self.is_silent {
-            self.silences += 1;
+    /// Whether the coordinator is out of contact now; counts the outages.
+    fn note_contact(&mut self, now: Duration) -> bool {
+        let is_out_of_contact = self.is_coordinator_unresponsive(now);
+        if is_out_of_contact && !self.is_out_of_contact {
+            self.outages += 1;
         }
-        self.is_silent = is_silent;
-        is_silent
+        self.is_out_of_contact = is_out_of_contact;
+        is_out_of_contact
     }
 
     /// Whether units of a tenant are within this proxy's share, where nothing is heard of the others.
-    fn admit_in_silence(&mut self, tenant: &str, units: f64, now: Duration) -> bool {
+    fn admit_by_share(&mut self, tenant: &str, units: f64, now: Duration) -> bool {
         let share = self.own_share(tenant, now);
-        let silences = self.silences;
+        let outages = self.outages;
         let tolerance = self.tolerance;
         let random = self.random.random();
         let Some(tenant) = self.tenants.get_mut(tenant) else {
@@ -120,18 +120,18 @@
             share,
             tolerance,
         };
-        let (last_silence, bucket) = tenant
+        let (last_outage, bucket) = tenant
             .bucket
-            .get_or_insert_with(|| (silences, TokenBucket::begin(quota, now)));
-        if *last_silence != silences {
-            *last_silence = silences;
+            .get_or_insert_with(|| (outages, TokenBucket::begin(quota, now)));
+        if *last_outage != outages {
+            *last_outage = outages;
             bucket.resume(quota, now);
         }
         bucket.take(units, quota, random, now)
     }
 
     /// The module takes back what it has not admitted after all.
-    fn undo_in_silence(&mut self, tenant: &str, units: f64) {
+    fn return_to_bucket(&mut self, tenant: &str, units: f64) {
         let tenant = self.tenants.get_mut(tenant);
         if let Some((_, bucket)) = tenant.and_then(|tenant| tenant.bucket.as_mut()) {
             bucket.undo(units);
@@ -140,12 +140,12 @@
 
     /// What is added to a total so that units are refused, whatever it is; 0 where they are not. Negative units undo.
     pub(super) fn refusal(&mut self, tenant: &str, units: f64, now: Duration) -> f64 {
-        if self.note_silence(now) {
+        if self.note_contact(now) {
             if units < 0.0 {
-                self.undo_in_silence(tenant, -units);
+                self.return_to_bucket(tenant, -units);
             }
-            if units > 0.0 && !self.admit_in_silence(tenant, units, now) {
-                return self.refusal_in_silence(tenant, now);
+            if units > 0.0 && !self.admit_by_share(tenant, units, now) {
+                return self.refusal_by_share(tenant, now);
             }
         } else if units > 0.0 && self.is_refused_at_random(tenant, now) {
             return OVER_ANY_QUOTA;
@@ -153,10 +153,10 @@
         0.0
     }
 
-    /// What is added to a total for a refusal while the coordinator is silent. The module advises clients to come back once
+    /// What is added to a total for a refusal without the coordinator. The module advises clients to come back once
     /// what exceeds the quota has gone by. Other proxies have shares of their own: where no more is requested than this one
     /// may admit, a client is sent on to the next one soon.
-    fn refusal_in_silence(&self, tenant: &str, now: Duration) -> f64 {
+    fn refusal_by_share(&self, tenant: &str, now: Duration) -> f64 {
         let share = self.own_share(tenant, now);
         let Some(tenant) = self.tenants.get(tenant) else {
             return OVER_ANY_QUOTA;
--- a/crates/proxy/src/quota/silence.rs
+++ b/crates/proxy/src/quota/token_bucket.rs
@@ -1,6 +1,6 @@
-//! What this proxy admits of a tenant while the coordinator is silent: a token bucket of its share of the quota.
+//! What this proxy admits of a tenant without the coordinator: a token bucket of its share of the quota.
 //!
-//! In contact the shared count lets in a quota's rate and its burst once. When silence begins, the burst may have been used:
+//! In contact the shared count lets in a quota's rate and its burst once. When an outage begins, the burst may have been used:
 //! the buckets of all proxies together begin with a part of what the operators tolerate beyond a quota, and fill at the
 //! quota's rate. At most they hold the burst and another part of what is tolerated. Where a share of that is less than one
 //! unit, a unit is admitted at random with the probability that has been saved up: the sum is right on the average, and
@@ -74,7 +74,7 @@
 }
 
 impl TokenBucket {
-    /// A silence begins.
+    /// An outage begins.
     pub(super) fn begin(quota: QuotaShare, now: Duration) -> Self {
         TokenBucket {
             tokens: quota.initial(),
@@ -84,7 +84,7 @@
         }
     }
 
-    /// Another silence begins soon after the last: what is left of it is not filled up for the time in between.
+    /// Another outage begins: what is left of it is not filled up for the time in between.
     pub(super) fn resume(&mut self, quota: QuotaShare, now: Duration) {
         self.tokens = self.tokens.min(quota.initial());
         self.filled_at = now + FILL_DELAY;
