--- a/crates/proxy/src/quota/mod.rs
+++ b/crates/proxy/src/quota/mod.rs
@@ -39,11 +39,6 @@
 
 /// The coordinator is unresponsive once a report to it has had no answer for this long: several round trips.
 const COORDINATOR_TIMEOUT: Duration = Duration::from_millis(600);
-/// The coordinator is unresponsive once it has not renewed this proxy's allotment for this long: two heartbeats, and their ways. A
-/// proxy that has nothing to report would not notice otherwise.
-const STATUS_TIMEOUT: Duration = Duration::from_millis(1000);
-/// Between two renewals.
-const STATUS_INTERVAL: Duration = Duration::from_millis(400);
 /// A tenant whose rate is above this part of its quota is near it: by what is known of the others, or by what is
 /// requested here if as much is requested everywhere, for a surge shows here before anybody reports it.
 const NEAR_QUOTA: f64 = 0.75;
@@ -92,8 +87,6 @@
     connected_term: u64,
     /// Since when a report has had no answer.
     unanswered_since: Option<Duration>,
-    /// When the connected coordinator last renewed this proxy's allotment; `None`: it has not yet.
-    last_status: Option<Duration>,
     counts: BTreeMap<String, Count>,
     tenants: HashMap<String, Tenant>,
     naming: SlotNaming,
@@ -143,7 +136,6 @@
             term: 0,
             connected_term: 0,
             unanswered_since: None,
-            last_status: None,
             counts: BTreeMap::new(),
             tenants: HashMap::new(),
             naming: SlotNaming::default(),
@@ -190,7 +182,6 @@
                 .values_mut()
                 .for_each(|count| count.reported = None);
             self.unanswered_since = None;
-            self.last_status = None;
             self.last_calm_report = None;
             self.owes_holding_report = true;
         }
@@ -234,18 +225,13 @@
     /// Whether nothing is known of the others: the coordinator is not connected, or does not answer.
     fn is_coordinator_unresponsive(&self, now: Duration) -> bool {
         let is_overdue = |since: Duration| now >= since + COORDINATOR_TIMEOUT;
-        let is_not_renewed = |last: Duration| now >= last + STATUS_TIMEOUT;
-        !self.is_connected
-            || self.unanswered_since.is_some_and(is_overdue)
-            || self.last_status.is_some_and(is_not_renewed)
+        !self.is_connected || self.unanswered_since.is_some_and(is_overdue)
     }
 
     /// Until when the others were heard of. While a report waits for its answer they are taken to go on as they did when it
     /// was sent: a coordinator that is gone must not look like others that have ceased.
     fn heard_until(&self, now: Duration) -> Duration {
-        let unanswered_since = self.unanswered_since.unwrap_or(now);
-        let renewed_until = self.last_status.map_or(now, |last| last + STATUS_INTERVAL);
-        now.min(unanswered_since).min(renewed_until)
+        self.unanswered_since.map_or(now, |since| since.min(now))
     }
 
     /// Adds units under a name of the module's, and returns the total as far as it can be known.
--- a/crates/proxy/src/quota/share.rs
+++ b/crates/proxy/src/quota/share.rs
@@ -61,7 +61,6 @@
             return;
         }
         self.holding.renew(term, now);
-        self.last_status = Some(now);
         self.proxy_number.set_departed(departed_proxies);
         let by_tenant = absent.by_tenant.iter();
         let by_tenant = by_tenant.map(|allotment| (allotment.tenant.clone(), allotment.parts));
--- a/crates/proxy/tests/quota_worlds/main.rs
+++ b/crates/proxy/tests/quota_worlds/main.rs
@@ -168,7 +168,8 @@
                 "| {proxies} | {rate} | {:.3} | {:.3} | {:.3} | {:.3} |",
                 with.refused, with.fullest, without.refused, without.fullest
             );
-            assert!(with.refused < 0.01 && with.fullest <= 1.0 && without.fullest <= 1.0);
+            let fullest = with.fullest.max(without.fullest);
+            assert!(with.refused < 0.01 && fullest <= 1.0, "{fullest}");
             if *proxies == 10 && rate >= 100.0 {
                 assert!(without.refused < 0.05, "{}", without.refused);
             }
