Allotments: what is set aside for missing proxies goes by their number

Change: of tenants that nobody has reported, the missing proxies are taken to hold as much as their number is of all.

--- a/crates/control/src/allotment/ledger.rs
+++ b/crates/control/src/allotment/ledger.rs
@@ -152,9 +152,10 @@
         PARTS.saturating_sub(reported)
     }
 
-    /// What holders out of contact may hold. `misses_proxies`: proxies are known that are not in contact, which may have what
-    /// is set aside.
-    pub fn absent(&self, misses_proxies: bool, now: Duration) -> AbsentAllotments {
+    /// What holders out of contact may hold. `missing_part`: the part of the known proxies that is not in contact, and may have
+    /// what is set aside.
+    pub fn absent(&self, missing_part: f64, now: Duration) -> AbsentAllotments {
+        let misses_proxies = missing_part > 0.0;
         let mut absent: BTreeMap<&str, u32> = BTreeMap::new();
         let holders = self.holders.values();
         for holder in holders.filter(|holder| !holder.is_present(now)) {
@@ -171,11 +172,12 @@
             tenant: tenant.to_owned(),
             parts,
         };
-        // Of a tenant that nobody has reported all may be held.
-        let of_unlisted = if misses_proxies && !self.is_accounted(now) {
-            PARTS
-        } else {
+        // Of a tenant that nobody has reported, those that are missing are taken to hold as much as their number is of all: after
+        // a restart of everything nobody holds anything, and the first that lags must not cost the others all of it.
+        let of_unlisted = if self.is_accounted(now) {
             0
+        } else {
+            (missing_part * f64::from(PARTS)) as u32
         };
         AbsentAllotments {
             by_tenant: absent.into_iter().map(allotment).collect(),
--- a/crates/proxy/tests/quota_worlds/world.rs
+++ b/crates/proxy/tests/quota_worlds/world.rs
@@ -353,7 +353,8 @@
             };
             self.send(ms, proxy, term, body);
             if self.ledger.may_renew(self.nodes[proxy].incarnation, now) {
-                let absent = self.ledger.absent(known > attached, now);
+                let missing_part = f64::from(known - attached) / f64::from(known);
+                let absent = self.ledger.absent(missing_part, now);
                 self.send(ms, proxy, term, Body::AllotmentStatus(absent));
             }
         }
--- a/crates/registry/src/allotments.rs
+++ b/crates/registry/src/allotments.rs
@@ -60,8 +60,9 @@
             return;
         };
         let attached = self.proxies.attached_count(now);
-        let misses_proxies = self.proxies.known_count(now) > attached;
-        let absent = self.role.allotments().absent(misses_proxies, now);
+        let known = self.proxies.known_count(now).max(1);
+        let missing_part = known.saturating_sub(attached) as f64 / known as f64;
+        let absent = self.role.allotments().absent(missing_part, now);
         let message = Message::AllotmentStatus {
             term,
             departed_proxies: self.proxies.departed_count() as u32,
