--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -4,3 +4,4 @@
 mod decisions;
 mod fleet;
 mod model;
+mod traffic_split;
