Proxy: the account of a split route's requests names the service chosen

The log line and the report of /-/account now say 'r-1 r7 to tiles' where the route is split; unsplit routes read as before.

--- a/crates/proxy/src/protocol.rs
+++ b/crates/proxy/src/protocol.rs
@@ -149,13 +149,14 @@
         route: &Rc<Route>,
         tenant: Option<&Rc<Tenant>>,
     ) -> Result<DecodedRequest, Rejection> {
+        let service = RoutingTable::choose_service(route, rand::rng().random()).to_owned();
         let route_and_tenant = RouteAndTenant {
             route: Some(route.clone()),
+            split_service: (route.services.len() > 1).then(|| service.as_str().into()),
             tenant: tenant.cloned(),
         };
         let tenant_name = tenant.map_or("", |tenant| &tenant.name);
         let home_regions = RoutingTable::home_regions(route, tenant.map(|tenant| &**tenant));
-        let service = RoutingTable::choose_service(route, rand::rng().random()).to_owned();
         let key = head.api_key.unwrap_or_default();
         let mirror_rules = self.mirror.select(&service, route.kind, tenant_name, key);
         let mut dispatchers = self.dispatchers.borrow_mut();
--- a/crates/proxy/src/unserved.rs
+++ b/crates/proxy/src/unserved.rs
@@ -63,15 +63,19 @@
 pub struct RouteAndTenant {
     /// The route, if one matches.
     pub route: Option<Rc<Route>>,
+    /// The service chosen by weight, where the route is split between services.
+    pub split_service: Option<Rc<str>>,
     /// The tenant, if one is known.
     pub tenant: Option<Rc<Tenant>>,
 }
 
 impl RouteAndTenant {
-    /// Returns the name and version of the route.
+    /// Returns the name and version of the route and, where it is split, the service chosen.
     fn route_name(&self) -> Option<String> {
         let route = self.route.as_ref()?;
-        Some(format!("{} r{}", route.name, route.version))
+        let to = self.split_service.as_ref();
+        let to = to.map_or(String::new(), |service| format!(" to {service}"));
+        Some(format!("{} r{}{to}", route.name, route.version))
     }
 
     /// Returns the name and version of the tenant.
--- a/crates/proxy/tests/unserved.rs
+++ b/crates/proxy/tests/unserved.rs
@@ -33,6 +33,7 @@
     };
     RouteAndTenant {
         route: Some(Rc::new(route)),
+        split_service: None,
         tenant: Some(Rc::new(tenant)),
     }
 }
@@ -87,3 +88,20 @@
         "the number of events kept must be bounded"
     );
 }
+
+#[test]
+fn rejection_on_a_split_route_names_the_service_chosen() {
+    let mut log = UnservedLog::default();
+    let split = RouteAndTenant {
+        split_service: Some("tiles".into()),
+        ..route_and_tenant()
+    };
+    let cause = Cause::rejected(RejectReason::QueueTooLong);
+    log.add("q", cause, false, &split, Duration::from_secs(1));
+    let line = log
+        .log_line(Duration::from_secs(5))
+        .expect("a line, as an event was recorded");
+    assert!(line.contains("1 line r-1 r7 to tiles;"), "{line}");
+    let report = log.to_json(None, Duration::ZERO);
+    assert!(report.contains("\"route\":\"r-1 r7 to tiles\""), "{report}");
+}
