Decision module: one answer in time shows that a slow operation has recovered

Cause: whether answers come in time was told by the median of the last 400 answers alone. While it says no, one invocation is in flight at a time, so as many fast answers as the histogram holds slow ones in excess (those in flight when it tipped over: 40 to 100) take five to ten seconds to come in.

Change: an answer is likely to take the median or, where that is less, what the last answer took. While answers are slow nothing changes; the first one in time opens the operation again. Retries and hedges go by the median as before. The histogram is handed over as before; the last answer is not.

--- a/src/rules/attempts.rs
+++ b/src/rules/attempts.rs
@@ -31,10 +31,8 @@
 /// Quantiles that stand for a typical and for a slow answer.
 const TYPICAL_QUANTILE: f64 = 0.75;
 const SLOW_QUANTILE: f64 = 0.95;
-/// Samples at which a histogram is halved. A backend histogram follows its last dozen answers, the
-/// histogram of an operation the last few hundred of all backends.
+/// Samples at which a backend's histogram is halved: it follows its last dozen answers.
 const BACKEND_SAMPLES: f64 = 16.0;
-const FLEET_SAMPLES: f64 = 400.0;
 /// An attempt counts as slow beyond this multiple of the mean latency. One gateway among many sees
 /// only few such attempts.
 const SLOW_FACTOR: f64 = 4.0;
@@ -200,7 +198,7 @@
         if !self.backends.contains_key(&backend_id) {
             return;
         }
-        self.latencies[operation.0].record(latency, FLEET_SAMPLES);
+        self.latencies[operation.0].record(latency);
         let is_warm = |backend: &&BackendState| {
             backend.entry.health == Health::Up && self.warm_up_fraction(&backend.entry) >= 1.0
         };
--- a/src/rules/handover.rs
+++ b/src/rules/handover.rs
@@ -9,6 +9,7 @@
 use super::backend::BackendState;
 use super::customer::{Customer, Slot};
 use super::latency_histogram::LatencyHistogram;
+use super::operation_latency::OperationLatency;
 use super::use_estimate::PlanUsage;
 use crate::interface::{Action, BackendId, CustomerId, PlanId};
 
@@ -65,13 +66,15 @@
     /// then sends nothing to warming backends.
     pub(super) fn hand_over(&mut self) {
         let operations = self.settings.operations.iter();
+        let histograms = self.latencies.iter().map(OperationLatency::histogram);
+        let histograms: Vec<LatencyHistogram> = histograms.cloned().collect();
         let plans = self.settings.plans.iter();
         let mut carry = HandoverState {
             started_at: self.started_at,
             counter_probability: self.counter_sampling.probability,
             concurrency_limit: self.concurrency_limit,
             mean_attempt_s: self.mean_attempt_s,
-            latencies: zip_with_names(operations.map(|operation| &operation.name), &self.latencies),
+            latencies: zip_with_names(operations.map(|operation| &operation.name), &histograms),
             plan_usage: zip_with_names(plans.map(|plan| &plan.name), &self.plan_usage),
             customers: Vec::new(),
             backends: self.backends.iter().map(CarriedBackend::of).collect(),
@@ -97,7 +100,10 @@
         self.mean_attempt_s = carry.mean_attempt_s;
         let operations = self.settings.operations.iter();
         let names = operations.map(|operation| &operation.name);
-        restore_by_name(names, carry.latencies, &mut self.latencies);
+        let latencies = carry.latencies.into_iter();
+        let latencies =
+            latencies.map(|(name, histogram)| (name, OperationLatency::from_histogram(histogram)));
+        restore_by_name(names, latencies.collect(), &mut self.latencies);
         let plans = self.settings.plans.iter();
         let names = plans.map(|plan| &plan.name);
         restore_by_name(names, carry.plan_usage, &mut self.plan_usage);
--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -22,6 +22,7 @@
 //! | `attempts` | whether a retry or a hedge is sent |
 //! | `unanswered` | which backends leave operations unanswered, as reported between gateways |
 //! | `answers` | the final answers, and the advised retry delay |
+//! | `operation_latency` | how long answers take, by operation |
 //! | `backend_list`, `reconfigure`, `handover` | the effect of new lists, settings and processes |
 //!
 //! `backend`, `customer`, `invocation` and `latency_histogram` hold state; `timers` holds the
@@ -39,6 +40,7 @@
 pub(crate) mod handover;
 mod invocation;
 mod latency_histogram;
+mod operation_latency;
 mod queue;
 mod reconfigure;
 mod timers;
@@ -57,7 +59,7 @@
 use self::counter::{CounterCall, CounterSampling};
 use self::customer::Customer;
 use self::invocation::PendingInvocation;
-use self::latency_histogram::LatencyHistogram;
+use self::operation_latency::OperationLatency;
 use self::timers::Timer;
 use self::use_estimate::{PlanUsage, initial_plan_usage};
 use self::warm_up::WarmThroughput;
@@ -99,7 +101,7 @@
     /// Limit on concurrent attempts at one backend, from all gateways together.
     concurrency_limit: f64,
     /// Latencies, indexed by operation.
-    latencies: Vec<LatencyHistogram>,
+    latencies: Vec<OperationLatency>,
     /// Moving mean of the value of an invocation.
     mean_value: f64,
     /// Moving mean of the units of an invocation. Starts at the geometric mean of 1 and the
@@ -140,7 +142,7 @@
             counter_sampling: CounterSampling::new(now),
             concurrency_limit: concurrency::INITIAL_LIMIT,
             mean_attempt_s: default_latencies_s.fold(1.0, f64::min),
-            latencies: operations.map(|_| LatencyHistogram::default()).collect(),
+            latencies: operations.map(|_| OperationLatency::default()).collect(),
             mean_value: 0.0,
             mean_units: settings.max_units.max(1.0).sqrt(),
             plan_usage: vec![initial_plan_usage(); settings.plans.len()],
@@ -249,16 +251,31 @@
     /// Returns the given quantile of recent latencies in seconds, or a fraction of the objective if
     /// there are none yet.
     fn expected_s(&self, quantile: f64, operation: OperationId) -> f64 {
-        let objective = self.settings.operations[operation.0].latency_objective;
         self.latencies[operation.0]
+            .histogram()
             .quantile_s(quantile)
-            .unwrap_or(objective.as_secs_f64() / DEFAULT_LATENCY_DIVISOR)
+            .unwrap_or_else(|| self.default_latency_s(operation))
+    }
+
+    /// Returns the latency in seconds that the next answer is likely to have.
+    fn likely_s(&self, operation: OperationId) -> f64 {
+        self.latencies[operation.0]
+            .likely_s()
+            .unwrap_or_else(|| self.default_latency_s(operation))
+    }
+
+    /// Returns the latency in seconds that is assumed before the first answer.
+    fn default_latency_s(&self, operation: OperationId) -> f64 {
+        let objective = self.settings.operations[operation.0].latency_objective;
+        objective.as_secs_f64() / DEFAULT_LATENCY_DIVISOR
     }
 
     /// Returns the mean of recent latencies in seconds.
     fn mean_s(&self, operation: OperationId) -> f64 {
         let prior_s = self.expected_s(MEDIAN, operation);
-        self.latencies[operation.0].mean_s(prior_s, PRIOR_LATENCY_WEIGHT)
+        self.latencies[operation.0]
+            .histogram()
+            .mean_s(prior_s, PRIOR_LATENCY_WEIGHT)
     }
 
     /// Returns the time until which an answer earns its full value.
--- a/src/rules/queue.rs
+++ b/src/rules/queue.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use super::Rules;
 use super::invocation::PendingInvocation;
 use super::timers::Timer;
-use super::{MEDIAN, Rules};
 use crate::interface::{InvocationId, OperationId, RejectReason};
 
 /// Fraction of an invocation's remaining time that the expected wait may take. With a longer wait,
@@ -28,7 +28,7 @@
     /// Only its own answers tell, so one invocation of it is sent at a time however slow the last
     /// ones were, whatever else is in flight.
     fn is_answer_too_slow(&self, operation: OperationId, remaining_s: f64) -> bool {
-        self.expected_s(MEDIAN, operation) > remaining_s && self.is_operation_in_flight(operation)
+        self.likely_s(operation) > remaining_s && self.is_operation_in_flight(operation)
     }
 
     fn is_operation_in_flight(&self, operation: OperationId) -> bool {
@@ -76,8 +76,8 @@
     pub(super) fn insert_into_queue(&mut self, id: InvocationId, until: Duration) {
         let invocation = &self.invocations[&id];
         let arrived = invocation.arrived;
-        let expected_s = self.expected_s(MEDIAN, invocation.request.operation);
-        let timeout = until.saturating_sub(Duration::from_secs_f64(expected_s));
+        let likely_s = self.likely_s(invocation.request.operation);
+        let timeout = until.saturating_sub(Duration::from_secs_f64(likely_s));
         self.queue.insert((arrived, id));
         let timer = Timer::QueueTimeout(id, arrived);
         self.timers.insert((timeout.max(self.now), timer));
--- a/src/rules/reconfigure.rs
+++ b/src/rules/reconfigure.rs
@@ -2,7 +2,7 @@
 
 use super::Rules;
 use super::customer::RETAINED_WINDOWS;
-use super::latency_histogram::LatencyHistogram;
+use super::operation_latency::OperationLatency;
 use super::use_estimate::initial_plan_usage;
 use crate::interface::{CustomerId, Settings};
 
@@ -17,7 +17,7 @@
             let known = known.rfind(|row| operations[*row].name == operation.name);
             let latency = match known {
                 Some(row) => self.latencies[row].clone(),
-                None => LatencyHistogram::default(),
+                None => OperationLatency::default(),
             };
             self.latencies.push(latency);
         }
--- a/tests/rules/traffic_split.rs
+++ b/tests/rules/traffic_split.rs
@@ -89,6 +89,8 @@
 struct JudgedOutcome {
     /// Requests of the split route that reached backends of each part.
     reached: HashMap<Part, u32>,
+    /// Rejections of requests on the own route of the secondary service.
+    own_route_rejections: u32,
 }
 
 impl JudgedOutcome {
@@ -306,6 +308,9 @@
                 ..
             } => {
                 let attempt = self.open.remove(&invocation_id).expect("request is open");
+                if attempt.route == OWN_ROUTE && self.is_judged() {
+                    self.outcome.own_route_rejections += 1;
+                }
                 if let Some(retries_left) = attempt.retries_left.checked_sub(1) {
                     let retry = ClientAttempt {
                         retries_left,
@@ -374,3 +379,17 @@
     };
     assert_weights_are_kept(&play_slow_times(rates, ms(380)));
 }
+
+#[test]
+fn busy_route_is_not_rejected_after_its_backends_were_slow() {
+    let rates = RequestRates {
+        split_route: 10.0,
+        own_route: 40.0,
+    };
+    let outcomes = play_slow_times(rates, ms(900));
+    let rejections = outcomes
+        .iter()
+        .map(|(seed, outcome)| (seed, outcome.own_route_rejections));
+    let rejecting: Vec<_> = rejections.filter(|(_, count)| *count > 0).collect();
+    assert!(rejecting.is_empty(), "seeds and rejections: {rejecting:?}");
+}
