System tests: logs of a failed test's programs are kept

Each program's log now goes to a file of the cluster's folder, with the time of day of each line; the folder is deleted only where the test passes, and its path is printed otherwise.

--- a/crates/ctl/tests/system/cluster.rs
+++ b/crates/ctl/tests/system/cluster.rs
@@ -2,15 +2,16 @@
 //! platform, the backends, the operator and the clients are simulated by the test.
 
 use std::collections::BTreeMap;
+use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use damsonbeam_lab::http::{HttpMessage, response_text};
 
@@ -129,7 +130,8 @@
     pub proxy_args: &'static [&'static str],
 }
 
-/// A cluster of machines with the simulated platform. Dropping it kills all programs and deletes their files.
+/// A cluster of machines with the simulated platform. Dropping it kills all programs, and deletes their files unless the
+/// test has failed.
 pub struct Cluster {
     pub machines: Vec<Machine>,
     folder: PathBuf,
@@ -337,20 +339,22 @@
                     command.args(self.plan.proxy_args);
                 }
                 let mut child = command.stderr(Stdio::piped()).spawn().expect("starts");
-                let (from, to) = (
-                    BufReader::new(child.stderr.take().expect("piped")),
-                    self.log_lines.0.clone(),
-                );
-                thread::spawn(move || {
-                    from.lines()
-                        .map_while(Result::ok)
-                        .all(|l| to.send(l).is_ok())
-                });
+                let log = child.stderr.take().expect("piped");
+                let log_file = self.log_file(&self.machines[index].name, program);
+                let to = self.log_lines.0.clone();
+                thread::spawn(move || copy_log(log, log_file, &to));
                 self.machines[index].processes.insert(program, child);
             }
         }
     }
 
+    /// Opens the log file of a program, to which all starts of the program append.
+    fn log_file(&self, machine: &str, program: &str) -> File {
+        let path = self.folder.join(format!("{machine}-{program}.log"));
+        let file = File::options().create(true).append(true).open(path);
+        file.expect("a log file")
+    }
+
     /// Kills all programs on the selected machines.
     pub fn kill(&mut self, is_selected: impl Fn(&Machine) -> bool) {
         for machine in self
@@ -560,9 +564,26 @@
 }
 
 impl Drop for Cluster {
+    /// Kills all programs and deletes their files; those of a failed test are kept.
     fn drop(&mut self) {
         self.kill(|_| true);
-        std::fs::remove_dir_all(&self.folder).ok();
+        if thread::panicking() {
+            eprintln!("logs and data of the programs: {}", self.folder.display());
+        } else {
+            std::fs::remove_dir_all(&self.folder).ok();
+        }
+    }
+}
+
+/// Appends each line of a program's log to a file, with the time of day, and passes it on.
+fn copy_log(log: ChildStderr, mut file: File, to: &Sender<String>) {
+    for line in BufReader::new(log).lines().map_while(Result::ok) {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        let at_s = since_epoch.unwrap_or_default().as_secs_f64();
+        writeln!(file, "{at_s:.3} {line}").ok();
+        if to.send(line).is_err() {
+            return;
+        }
     }
 }
 
