Proxy: a backend in slow start whose turn comes between two checks is used again

It can hit any backend that warms up: the proxy that lost track of it sends it nothing until the next change of the list or of the configuration.

Cause, from the logs that failed tests now leave: modules are told a backend's state when the list is sent and when a turn is used; they were told that it had opened only where two checks, 25 ms apart, saw it closed and then open. A first turn that came before the first check (one in five at 6.7 a second and one proxy), or a next turn before the check after the last one, was never seen: the modules went on holding the backend closed, so its turn stayed unused.

Change: slow start keeps what the modules were told, and a backend is announced whenever it is open and some module holds it closed.

Two tests of slow start name the cases.

--- a/crates/proxy/src/dispatch/limits.rs
+++ b/crates/proxy/src/dispatch/limits.rs
@@ -33,6 +33,7 @@
             load_reports.attempt_sent(backend, now);
         }
         let health_change = if was_warming_up {
+            pool.slow_start().record_closing(backend);
             pool.unavailable_entry(backend, now)
         } else {
             None
--- a/crates/proxy/src/dispatch/mod.rs
+++ b/crates/proxy/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use damsonbeam::Rules;
 use damsonbeam::interface::{ListUpdate, OperationId, Plan, PlanId, Settings};
@@ -225,7 +226,7 @@
             settings,
             operations: HashMap::new(),
         };
-        let backends = self.send_backends_to(&dispatcher);
+        let backends = self.send_backends_to(&dispatcher, shared.clock.now());
         log::info!(
             "dispatcher: started for service {}, home regions {:?}, {} attempts, {backends} backends.",
             key.service,
@@ -254,10 +255,9 @@
         sender
     }
 
-    /// Sends a module its current backends; returns their number.
-    fn send_backends_to(&self, dispatcher: &DispatcherHandle) -> usize {
+    /// Sends a module the backends as they are at a time; returns their number.
+    fn send_backends_to(&self, dispatcher: &DispatcherHandle, now: Duration) -> usize {
         let pool = self.shared.backend_pool.borrow();
-        let now = self.shared.clock.now();
         let backends = pool.backends(&dispatcher.service, &dispatcher.homes, now);
         let count = backends.len();
         let listed = BackendListUpdate {
@@ -281,9 +281,12 @@
 
     /// Sends all modules their current backends.
     pub fn send_backends(&self) {
+        let now = self.shared.clock.now();
         for dispatcher in self.dispatchers.values() {
-            self.send_backends_to(dispatcher);
+            self.send_backends_to(dispatcher, now);
         }
+        let mut pool = self.shared.backend_pool.borrow_mut();
+        pool.slow_start().record_announcement(now);
     }
 
     /// Sends all modules a message about the end of the process; returns receivers for their
--- a/crates/proxy/src/process/proxy.rs
+++ b/crates/proxy/src/process/proxy.rs
@@ -1,12 +1,10 @@
 //! The state of a proxy process, with a handler for each kind of event.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use damsonbeam::interface::BackendId;
 use damsonbeam_admin::Metrics;
 use damsonbeam_control::config::ConnectionLimits;
 use damsonbeam_control::link::{LinkError, listen};
@@ -69,8 +67,6 @@
     /// The coordinator's time minus this process's clock, in seconds.
     pub(super) time_offset_s: Rc<Cell<f64>>,
     pub(super) region_position: RegionPosition,
-    /// Backends in slow start, and whether each could take a request at the last tick.
-    pub(super) slow_start_open: HashMap<BackendId, bool>,
     /// The task that accepts client connections; `None` before the proxy serves and after it has stopped accepting.
     pub(super) accept_task: Option<JoinHandle<()>>,
     /// The shutdown in progress, with the time of SIGTERM.
@@ -240,21 +236,14 @@
         self.step_shutdown()
     }
 
-    /// Sends the modules the backends again once a backend in slow start can take a request.
+    /// Sends the modules the backends again if a backend in slow start can take a request and a module does not know it.
     fn update_slow_start_backends(&mut self) {
         let now = self.clock.now();
-        let states: Vec<(BackendId, bool)> = self
-            .backend_pool
-            .borrow_mut()
-            .slow_start()
-            .all(now)
-            .collect();
-        let mut has_opened = false;
-        for (backend, is_open) in states {
-            let was_open = self.slow_start_open.insert(backend, is_open);
-            has_opened |= is_open && !was_open.unwrap_or(true);
-        }
-        if has_opened {
+        let needs_announcement = {
+            let mut pool = self.backend_pool.borrow_mut();
+            pool.slow_start().needs_announcement(now)
+        };
+        if needs_announcement {
             self.dispatchers.borrow().send_backends();
         }
     }
--- a/crates/proxy/src/process/start.rs
+++ b/crates/proxy/src/process/start.rs
@@ -168,7 +168,6 @@
             advertised_idle_s,
             time_offset_s: shared.time_offset_s,
             region_position: Default::default(),
-            slow_start_open: Default::default(),
             accept_task: None,
             shutdown: None,
             shutdown_reports: self.shutdown_reports,
--- a/crates/proxy/src/slow_start.rs
+++ b/crates/proxy/src/slow_start.rs
@@ -33,6 +33,8 @@
     until: Duration,
     rate_per_s: f64,
     next_turn: Duration,
+    /// Whether the decision modules were told that the backend is available.
+    is_announced: bool,
 }
 
 /// The backends that warm up, and this proxy's turns.
@@ -87,6 +89,7 @@
                 until,
                 rate_per_s,
                 next_turn: first_turn,
+                is_announced: false,
             });
         warming.until = warming.until.max(until);
         warming.rate_per_s = rate_per_s;
@@ -108,7 +111,7 @@
     /// Returns whether a request may go to a backend now.
     pub fn is_open(&self, backend: BackendId, now: Duration) -> bool {
         let backend = self.warming_backends.get(&backend);
-        backend.is_none_or(|backend| now >= backend.until || now >= backend.next_turn)
+        backend.is_none_or(|backend| backend.is_open(now))
     }
 
     /// Uses the turn for a backend; returns whether a request may go to it.
@@ -127,9 +130,29 @@
         true
     }
 
-    /// Returns the backends that warm up, each with whether a request may go to it.
-    pub fn all(&self, now: Duration) -> impl Iterator<Item = (BackendId, bool)> + '_ {
-        let backends = self.warming_backends.keys();
-        backends.map(move |backend| (*backend, self.is_open(*backend, now)))
+    /// Records that all decision modules have been told which backends are open.
+    pub fn record_announcement(&mut self, now: Duration) {
+        for warming in self.warming_backends.values_mut() {
+            warming.is_announced = warming.is_open(now);
+        }
+    }
+
+    /// Records that a decision module has been told that a backend is unavailable.
+    pub fn record_closing(&mut self, backend: BackendId) {
+        if let Some(warming) = self.warming_backends.get_mut(&backend) {
+            warming.is_announced = false;
+        }
+    }
+
+    /// Returns whether a backend is open that some decision module holds to be unavailable.
+    pub fn needs_announcement(&self, now: Duration) -> bool {
+        let mut backends = self.warming_backends.values();
+        backends.any(|warming| !warming.is_announced && warming.is_open(now))
+    }
+}
+
+impl WarmingBackend {
+    fn is_open(&self, now: Duration) -> bool {
+        now >= self.until || now >= self.next_turn
     }
 }
--- a/crates/proxy/tests/slow_start.rs
+++ b/crates/proxy/tests/slow_start.rs
@@ -47,3 +47,42 @@
     assert!(max_requests_in_a_second(12, 6.7) <= 15, "12 proxies");
     assert!(max_requests_in_a_second(69, 20.0) <= 38, "69 proxies");
 }
+
+#[test]
+fn backend_that_opens_right_after_an_announcement_is_announced_again() {
+    let at = Duration::from_millis;
+    let backend = BackendId(1);
+    let warm_up = WarmUp {
+        remaining: at(2200),
+        rate_per_s: 20.0,
+    };
+    let mut slow_start = SlowStart::default();
+    slow_start.set_proxy_count(1);
+    slow_start.record_warm_up(backend, warm_up, 0.1, at(0));
+    slow_start.record_announcement(at(0));
+    assert!(!slow_start.is_open(backend, at(0)));
+    // The first turn comes 5 ms later, before the next check.
+    assert!(slow_start.needs_announcement(at(25)));
+    slow_start.record_announcement(at(25));
+    assert!(!slow_start.needs_announcement(at(50)));
+    assert!(slow_start.take_turn(backend, at(50)));
+    slow_start.record_closing(backend);
+    // Another turn is due before a check sees the backend closed.
+    assert!(slow_start.needs_announcement(at(100)));
+}
+
+#[test]
+fn backend_that_was_closed_at_the_end_of_its_warm_up_is_announced() {
+    let at = Duration::from_millis;
+    let backend = BackendId(1);
+    let warm_up = WarmUp {
+        remaining: at(2200),
+        rate_per_s: 1.0,
+    };
+    let mut slow_start = SlowStart::default();
+    slow_start.set_proxy_count(30);
+    slow_start.record_warm_up(backend, warm_up, 1.0, at(0));
+    slow_start.record_announcement(at(0));
+    assert!(!slow_start.needs_announcement(at(2500)));
+    assert!(slow_start.needs_announcement(at(2600)));
+}
