--- /dev/null
+++ b/crates/ctl/tests/soak/backend.rs
@@ -0,0 +1,404 @@
+//! Stand-in backends that follow the wire protocol of the system and, in spells of trouble, its permitted faults.
+
+use std::collections::HashMap;
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use damsonbeam_lab::http::{HttpMessage, response_text};
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use socket2::SockRef;
+
+use crate::history::{History, answer_body};
+
+/// Requests that wait at a backend beyond those that it works on.
+const QUEUE_LENGTH: usize = 2;
+/// The longest delay of an early answer to a long upload, and of reading the upload after it.
+const MAX_EARLY_DELAY_MS: u64 = 30;
+/// The longest delay of a second copy of an answer.
+const MAX_COPY_DELAY_MS: u64 = 100;
+
+/// A way in which a backend in trouble treats a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FaultKind {
+    /// The request runs, and the answer is a status of the backend's own that is reserved for requests that did not.
+    OwnPromise,
+    /// The request runs, and the connection is closed, reset or silent.
+    Lost,
+    /// The connection is reset before the request runs.
+    Reset,
+    /// The request runs, and the answer breaks off.
+    Cut,
+    /// The request runs, and the answer is no HTTP.
+    Garbage,
+    /// The request runs, and the answer has no length and ends with its connection.
+    Unframed,
+    /// The request runs and fails.
+    Failed,
+    /// The answer is sent a second time, some time later.
+    SecondCopy,
+    /// A long upload is turned away before it is in, and read on.
+    Early,
+}
+
+impl FaultKind {
+    pub const ALL: [(&str, FaultKind); 9] = [
+        ("own-promise", FaultKind::OwnPromise),
+        ("lost", FaultKind::Lost),
+        ("reset", FaultKind::Reset),
+        ("cut", FaultKind::Cut),
+        ("garbage", FaultKind::Garbage),
+        ("unframed", FaultKind::Unframed),
+        ("failed", FaultKind::Failed),
+        ("second-copy", FaultKind::SecondCopy),
+        ("early", FaultKind::Early),
+    ];
+}
+
+/// The faults of a backend in trouble, with the share of its requests that each concerns.
+#[derive(Clone, Debug, Default)]
+pub struct Faults(Vec<(FaultKind, f64)>);
+
+impl Faults {
+    pub fn new(shares: Vec<(FaultKind, f64)>) -> Self {
+        Faults(shares)
+    }
+
+    fn share(&self, kind: FaultKind) -> f64 {
+        let of_kind = self.0.iter().filter(|(other, _)| *other == kind);
+        of_kind.map(|(_, share)| share).sum()
+    }
+
+    /// Draws what happens to a request that the backend has read.
+    fn draw(&self, rng: &mut ChaCha8Rng) -> Option<FaultKind> {
+        let mut point = rng.random::<f64>();
+        let drawn = self.0.iter().find(|(_, share)| {
+            point -= share;
+            point < 0.0
+        });
+        drawn.map(|(kind, _)| *kind)
+    }
+}
+
+/// The identity of a backend, which changes with each start.
+#[derive(Clone)]
+pub struct Life {
+    pub id: String,
+    pub is_up: bool,
+}
+
+/// A stand-in backend.
+pub struct StandIn {
+    pub service: &'static str,
+    pub zone: &'static str,
+    pub address: SocketAddr,
+    name: String,
+    slots: usize,
+    work: Duration,
+    pub resets_when_full: bool,
+    life: Mutex<Life>,
+    lives: AtomicUsize,
+    faults: Mutex<Faults>,
+    rng: Mutex<ChaCha8Rng>,
+    /// Requests that are worked on or wait.
+    taken: AtomicUsize,
+    /// Requests that are worked on.
+    working: Mutex<usize>,
+    slot_freed: Condvar,
+    /// Copies of the open connections' sockets, by the number of the connection.
+    connections: Mutex<HashMap<usize, TcpStream>>,
+    history: Arc<History>,
+}
+
+/// The properties of a stand-in backend.
+pub struct StandInPlan {
+    pub name: String,
+    pub service: &'static str,
+    pub zone: &'static str,
+    pub slots: usize,
+    pub work: Duration,
+    pub resets_when_full: bool,
+    pub seed: u64,
+}
+
+impl StandIn {
+    pub fn start(plan: StandInPlan, history: &Arc<History>) -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let backend = Arc::new(StandIn {
+            service: plan.service,
+            zone: plan.zone,
+            address: listener.local_addr().expect("bound"),
+            slots: plan.slots,
+            work: plan.work,
+            resets_when_full: plan.resets_when_full,
+            life: Mutex::new(Life {
+                id: format!("{}-0", plan.name),
+                is_up: true,
+            }),
+            name: plan.name,
+            lives: AtomicUsize::new(1),
+            faults: Mutex::default(),
+            rng: Mutex::new(ChaCha8Rng::seed_from_u64(plan.seed)),
+            taken: AtomicUsize::new(0),
+            working: Mutex::new(0),
+            slot_freed: Condvar::new(),
+            connections: Mutex::default(),
+            history: history.clone(),
+        });
+        let accepting = backend.clone();
+        thread::spawn(move || {
+            for (number, socket) in listener.incoming().map_while(Result::ok).enumerate() {
+                if !accepting.life().is_up {
+                    reset(&socket);
+                    continue;
+                }
+                let copy = socket.try_clone().expect("cloned");
+                accepting.open_connections().insert(number, copy);
+                let backend = accepting.clone();
+                thread::spawn(move || {
+                    backend.serve(socket);
+                    backend.open_connections().remove(&number);
+                });
+            }
+        });
+        backend
+    }
+
+    pub fn life(&self) -> Life {
+        self.life.lock().expect("not poisoned").clone()
+    }
+
+    pub fn set_faults(&self, faults: Faults) {
+        *self.faults.lock().expect("not poisoned") = faults;
+    }
+
+    /// Ends the backend: its connections break off, and new ones are reset.
+    pub fn crash(&self) {
+        self.life.lock().expect("not poisoned").is_up = false;
+        for (_, connection) in self.open_connections().drain() {
+            connection.shutdown(Shutdown::Both).ok();
+        }
+    }
+
+    fn open_connections(&self) -> MutexGuard<'_, HashMap<usize, TcpStream>> {
+        self.connections.lock().expect("not poisoned")
+    }
+
+    /// Starts the backend again at its address, with another id.
+    pub fn restart(&self) {
+        let number = self.lives.fetch_add(1, Ordering::SeqCst);
+        let mut life = self.life.lock().expect("not poisoned");
+        life.id = format!("{}-{number}", self.name);
+        life.is_up = true;
+    }
+
+    fn chance(&self, share: f64) -> bool {
+        self.rng.lock().expect("not poisoned").random::<f64>() < share
+    }
+
+    fn below(&self, limit: u64) -> u64 {
+        self.rng
+            .lock()
+            .expect("not poisoned")
+            .random_range(0..limit.max(1))
+    }
+
+    fn serve(&self, socket: TcpStream) {
+        let mut reader = BufReader::new(socket.try_clone().expect("cloned"));
+        let mut writer = socket;
+        while let Some(head) = HttpMessage::read_head(&mut reader) {
+            if self.handle(head, &mut reader, &mut writer).is_none() {
+                break;
+            }
+        }
+    }
+
+    /// Handles one request; returns `None` where the connection ends with it.
+    fn handle(
+        &self,
+        mut request: HttpMessage,
+        reader: &mut BufReader<TcpStream>,
+        writer: &mut TcpStream,
+    ) -> Option<()> {
+        let faults = self.faults.lock().expect("not poisoned").clone();
+        let id = request
+            .header("x-request-id")
+            .unwrap_or_default()
+            .to_owned();
+        let is_long = request.start_line.contains("/upload/");
+        if is_long && self.chance(faults.share(FaultKind::Early)) {
+            return self.answer_early(&id, request, reader, writer);
+        }
+        request.read_body(reader)?;
+        let life = self.life();
+        if request.header("x-target-instance") != Some(&*life.id) {
+            return self.send(writer, &refusal("421 Misdirected Request", &id), &faults);
+        }
+        let fault = faults.draw(&mut self.rng.lock().expect("not poisoned"));
+        if fault == Some(FaultKind::Reset) {
+            reset(writer);
+            return None;
+        }
+        let deadline_ms = request
+            .header("x-deadline-ms")
+            .and_then(|value| value.parse().ok());
+        let until = Instant::now() + Duration::from_millis(deadline_ms.unwrap_or(60_000));
+        if !self.take_place() {
+            if self.resets_when_full {
+                reset(writer);
+                return None;
+            }
+            return self.send(writer, &refusal("503 Full", &id), &faults);
+        }
+        let is_in_time = self.wait_for_slot(until);
+        if !is_in_time {
+            self.taken.fetch_sub(1, Ordering::SeqCst);
+            return self.send(writer, &refusal("503 Late", &id), &faults);
+        }
+        self.history.record_run(&id, &life.id, &request.body);
+        thread::sleep(self.work);
+        self.free_slot();
+        self.taken.fetch_sub(1, Ordering::SeqCst);
+        if Instant::now() >= until {
+            return self.send(writer, &failure("504 Late", &id), &faults);
+        }
+        self.answer(fault, &id, writer, &faults)
+    }
+
+    /// Turns a long upload away before it is in, then reads it to its end.
+    fn answer_early(
+        &self,
+        id: &str,
+        mut request: HttpMessage,
+        reader: &mut BufReader<TcpStream>,
+        writer: &mut TcpStream,
+    ) -> Option<()> {
+        thread::sleep(Duration::from_millis(self.below(MAX_EARLY_DELAY_MS)));
+        writer
+            .write_all(refusal("503 Too Much", id).as_bytes())
+            .ok()?;
+        thread::sleep(Duration::from_millis(self.below(MAX_EARLY_DELAY_MS)));
+        request.read_body(reader)?;
+        self.history.record_late_body(id, &self.name, &request.body);
+        Some(())
+    }
+
+    fn answer(
+        &self,
+        fault: Option<FaultKind>,
+        id: &str,
+        writer: &mut TcpStream,
+        faults: &Faults,
+    ) -> Option<()> {
+        let body = answer_body(id);
+        let whole = response_text(
+            &format!("200 OK\r\nX-Response-Seal: s\r\nX-Request-Id: {id}"),
+            &body,
+        );
+        match fault {
+            None | Some(FaultKind::SecondCopy | FaultKind::Early) => {
+                self.send(writer, &whole, faults)
+            }
+            Some(FaultKind::Failed) => self.send(writer, &failure("500 Failed", id), faults),
+            Some(FaultKind::OwnPromise) => {
+                let statuses = ["503 Busy", "429 Slow Down", "408 Timeout"];
+                let status = statuses[self.below(3) as usize];
+                self.send(writer, &failure(status, id), faults)
+            }
+            Some(FaultKind::Cut) => {
+                let end = self.below(whole.len() as u64) as usize;
+                writer.write_all(&whole.as_bytes()[..end]).ok()?;
+                None
+            }
+            Some(FaultKind::Garbage) => {
+                writer.write_all(b"\x00\x17no answer\r\n\r\n").ok()?;
+                None
+            }
+            Some(FaultKind::Unframed) => {
+                let head =
+                    format!("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nX-Request-Id: {id}\r\n\r\n");
+                writer.write_all(head.as_bytes()).ok()?;
+                thread::sleep(Duration::from_millis(self.below(60)));
+                writer.write_all(body.as_bytes()).ok()?;
+                None
+            }
+            Some(FaultKind::Lost | FaultKind::Reset) => {
+                match self.below(3) {
+                    0 => reset(writer),
+                    1 => thread::sleep(Duration::from_secs(3)),
+                    _ => {}
+                }
+                None
+            }
+        }
+    }
+
+    /// Sends an answer and, in trouble, sends it again some time later.
+    fn send(&self, writer: &mut TcpStream, text: &str, faults: &Faults) -> Option<()> {
+        writer.write_all(text.as_bytes()).ok()?;
+        if self.chance(faults.share(FaultKind::SecondCopy)) {
+            let delay = Duration::from_millis(self.below(MAX_COPY_DELAY_MS));
+            let (mut later, text) = (writer.try_clone().ok()?, text.to_owned());
+            thread::spawn(move || {
+                thread::sleep(delay);
+                later.write_all(text.as_bytes()).ok();
+            });
+        }
+        Some(())
+    }
+
+    fn take_place(&self) -> bool {
+        let limit = self.slots + QUEUE_LENGTH;
+        let take = |taken| (taken < limit).then_some(taken + 1);
+        let order = Ordering::SeqCst;
+        self.taken.fetch_update(order, order, take).is_ok()
+    }
+
+    /// Waits for a free slot and takes it; returns `false` if there is none until the deadline.
+    fn wait_for_slot(&self, until: Instant) -> bool {
+        let mut working = self.working.lock().expect("not poisoned");
+        while *working >= self.slots {
+            let wait = until.saturating_duration_since(Instant::now());
+            if wait.is_zero() {
+                return false;
+            }
+            let waited = self.slot_freed.wait_timeout(working, wait);
+            working = waited.expect("not poisoned").0;
+        }
+        *working += 1;
+        true
+    }
+
+    fn free_slot(&self) {
+        *self.working.lock().expect("not poisoned") -= 1;
+        self.slot_freed.notify_one();
+    }
+}
+
+/// Returns an answer that states that the request was not executed.
+fn refusal(status: &str, id: &str) -> String {
+    response_text(
+        &format!("{status}\r\nX-Not-Executed: 1\r\nX-Request-Id: {id}"),
+        "",
+    )
+}
+
+/// Returns a failure after which the request may have run.
+fn failure(status: &str, id: &str) -> String {
+    response_text(
+        &format!("{status}\r\nX-Response-Seal: s\r\nX-Request-Id: {id}"),
+        "",
+    )
+}
+
+/// Makes the socket reset its connection when its last copy is closed.
+fn reset(socket: &TcpStream) {
+    SockRef::from(socket)
+        .set_linger(Some(Duration::ZERO))
+        .expect("set");
+}
--- a/crates/ctl/tests/system/cluster.rs
+++ b/crates/ctl/tests/system/cluster.rs
@@ -140,6 +140,7 @@
     cloud_api: SocketAddr,
     /// Log lines of all programs; each line triggers another check of an awaited condition.
     log_lines: (Sender<String>, Receiver<String>),
+    keeps_files: bool,
 }
 
 /// A machine with its own loopback address. A core machine runs a registry and a store, any other machine a proxy.
@@ -227,6 +228,7 @@
             instances,
             cloud_api,
             log_lines,
+            keeps_files: false,
         };
         cluster.set_instances(backends, &[]);
         cluster
@@ -563,11 +565,34 @@
     }
 }
 
+/// What only the soaks need.
+#[allow(dead_code)]
+impl Cluster {
+    /// Lets the programs run for a time.
+    pub fn run_for(&mut self, duration: Duration) {
+        let deadline = Instant::now() + duration;
+        while let Some(left) = deadline.checked_duration_since(Instant::now()) {
+            self.log_lines.1.recv_timeout(left).ok();
+        }
+    }
+
+    /// Keeps the logs and data of the programs when the cluster is dropped.
+    pub fn keep_files(&mut self) {
+        self.keeps_files = true;
+    }
+
+    /// Returns the programs of a machine that were started and not stopped.
+    pub fn running_programs(&self, machine: usize) -> Vec<&'static str> {
+        let processes = &self.machines[machine].processes;
+        processes.keys().copied().collect()
+    }
+}
+
 impl Drop for Cluster {
     /// Kills all programs and deletes their files; those of a failed test are kept.
     fn drop(&mut self) {
         self.kill(|_| true);
-        if thread::panicking() {
+        if thread::panicking() || self.keeps_files {
             eprintln!("logs and data of the programs: {}", self.folder.display());
         } else {
             std::fs::remove_dir_all(&self.folder).ok();
--- a/crates/lab/src/http.rs
+++ b/crates/lab/src/http.rs
@@ -59,8 +59,15 @@
     /// is malformed.
     pub fn read(reader: &mut BufReader<TcpStream>) -> Option<HttpMessage> {
         let mut message = HttpMessage::read_head(reader)?;
-        let chunked = message.header("transfer-encoding").is_some();
-        let mut length = message
+        message.read_body(reader)?;
+        Some(message)
+    }
+
+    /// Reads the body that follows the head of this message. Returns `None` where the connection ends before the body is
+    /// complete, or the body is malformed.
+    pub fn read_body(&mut self, reader: &mut BufReader<TcpStream>) -> Option<()> {
+        let chunked = self.header("transfer-encoding").is_some();
+        let mut length = self
             .header("content-length")
             .map_or(Some(0), |value| value.parse().ok())?;
         loop {
@@ -69,14 +76,14 @@
                 reader.read_line(&mut line).ok()?;
                 length = usize::from_str_radix(line.trim(), 16).ok()?;
             }
-            let body_len = message.body.len();
-            message.body.resize(body_len + length, 0);
-            reader.read_exact(&mut message.body[body_len..]).ok()?;
+            let body_len = self.body.len();
+            self.body.resize(body_len + length, 0);
+            reader.read_exact(&mut self.body[body_len..]).ok()?;
             if chunked {
                 reader.read_exact(&mut [0; 2]).ok()?;
             }
             if !chunked || length == 0 {
-                return Some(message);
+                return Some(());
             }
         }
     }
