Gateway, proxy: a refusal carries the evidence that its request has not run

The proof of each attempt was dropped as soon as it had been counted.

The proofs are kept, with the connection of the attempt. Answer::Throttled takes a NoneExecuted in place of a flag, which only the proofs of all attempts make, so that code can't promise without them. At level debug the proxy logs the evidence, and each status that is passed on from a backend. No decision changes.

--- a/crates/ctl/tests/soak/main.rs
+++ b/crates/ctl/tests/soak/main.rs
@@ -246,14 +246,16 @@
 }
 
 /// The long run, started by hand: `SOAK_FIRST` to `SOAK_LAST` are the seeds, `SOAK_SECONDS` the length of each,
-/// `SOAK_PROXIES` the proxies in each of three zones, `SOAK_FAULTS` the faults of backends.
+/// `SOAK_PROXIES` the proxies in each of three zones, `SOAK_BACKENDS` the backends of the first service, `SOAK_FAULTS` the
+/// faults of backends.
 #[test]
 #[ignore = "takes minutes to hours; started by hand"]
 fn long_soak() {
     let proxies_per_zone = variable("SOAK_PROXIES", 2) as usize;
     let scale = Scale {
         proxies_per_zone,
-        backends_per_service: 3 * proxies_per_zone.div_ceil(2),
+        backends_per_service: variable("SOAK_BACKENDS", 3 * proxies_per_zone.div_ceil(2) as u64)
+            as usize,
         clients: 24 * proxies_per_zone,
         duration: Duration::from_secs(variable("SOAK_SECONDS", 30)),
     };
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -11,13 +11,22 @@
 //! ```
 //!
 //! ```compile_fail
-//! use damsonbeam_gateway::attempts::{Attempts, SendPermit};
+//! use damsonbeam_gateway::attempts::{Attempts, ConnectionId, SendPermit};
 //! fn use_permit_twice(permit: SendPermit, meter: std::rc::Rc<damsonbeam_gateway::write_meter::WriteMeter>) {
-//!     let sent = permit.start_sending(meter);
+//!     let sent = permit.start_sending(ConnectionId(0), meter);
 //!     let proof = permit.give_up();
 //! }
 //! ```
+//!
+//! A refusal that promises that a request has not run and never will requires a [`NoneExecuted`], which only the proofs
+//! of all its attempts make.
+//!
+//! ```compile_fail
+//! use damsonbeam_gateway::attempts::NoneExecuted;
+//! let forged = NoneExecuted(Vec::new());
+//! ```
 
+use std::fmt;
 use std::rc::Rc;
 
 use damsonbeam::interface::{AttemptNumber, Outcome, RepeatMode};
@@ -38,18 +47,69 @@
     }
 }
 
+/// Number of a connection to a backend, unique in the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionId(pub u64);
+
 /// Proof that an attempt was not executed and never will be.
 #[derive(Debug)]
 pub struct NotExecuted(Evidence);
 
-#[derive(Debug)]
-enum Evidence {
+/// Evidence that an attempt was not executed and never will be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
     /// No part of the attempt was handed to a connection.
     NotSent,
     /// The last byte of the attempt was never handed to the operating system.
-    Incomplete,
+    Incomplete(ConnectionId),
     /// The backend declined the request in its response to it.
-    Declined(Refusal),
+    Declined(Refusal, ConnectionId),
+}
+
+impl fmt::Display for Evidence {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Evidence::NotSent => write!(f, "not sent"),
+            Evidence::Incomplete(connection) => {
+                write!(f, "incomplete on connection {}", connection.0)
+            }
+            Evidence::Declined(Refusal::NoCapacity, connection) => {
+                write!(f, "declined on connection {}", connection.0)
+            }
+            Evidence::Declined(Refusal::WrongBackend, connection) => {
+                write!(f, "misdirected on connection {}", connection.0)
+            }
+        }
+    }
+}
+
+/// Proof that no attempt of a request was executed or ever will be.
+#[derive(Clone, Debug)]
+pub struct NoneExecuted(Vec<Evidence>);
+
+impl NoneExecuted {
+    /// Returns the proof for a request that is rejected before it reaches a dispatcher.
+    pub fn without_attempts() -> Self {
+        NoneExecuted(Vec::new())
+    }
+
+    /// Returns the evidence for each attempt that was made.
+    pub fn evidence(&self) -> &[Evidence] {
+        &self.0
+    }
+}
+
+impl fmt::Display for NoneExecuted {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        if self.0.is_empty() {
+            return write!(f, "no attempt");
+        }
+        for (number, evidence) in self.0.iter().enumerate() {
+            let separator = if number == 0 { "" } else { ", " };
+            write!(f, "{separator}{evidence}")?;
+        }
+        Ok(())
+    }
 }
 
 /// Reasons why a backend did not execute a request.
@@ -94,7 +154,7 @@
             Ending::Succeeded => Outcome::Ok,
             Ending::Failed => Outcome::Failed,
             Ending::Unknown => Outcome::Reset,
-            Ending::NotExecuted(NotExecuted(Evidence::Declined(Refusal::NoCapacity))) => {
+            Ending::NotExecuted(NotExecuted(Evidence::Declined(Refusal::NoCapacity, _))) => {
                 Outcome::Full
             }
             Ending::NotExecuted(_) => Outcome::ConnectFailed,
@@ -114,13 +174,14 @@
     }
 
     /// Uses the permit for an attempt that is written to a connection with this meter.
-    pub fn start_sending(self, meter: Rc<WriteMeter>) -> SentAttempt {
-        SentAttempt { meter }
+    pub fn start_sending(self, connection: ConnectionId, meter: Rc<WriteMeter>) -> SentAttempt {
+        SentAttempt { connection, meter }
     }
 }
 
 /// An attempt that has been handed to a connection.
 pub struct SentAttempt {
+    connection: ConnectionId,
     meter: Rc<WriteMeter>,
 }
 
@@ -131,7 +192,8 @@
             Verdict::Succeeded => Ending::Succeeded,
             Verdict::Failed => Ending::Failed,
             Verdict::Declined(refusal) => {
-                Ending::NotExecuted(NotExecuted(Evidence::Declined(refusal)))
+                let evidence = Evidence::Declined(refusal, self.connection);
+                Ending::NotExecuted(NotExecuted(evidence))
             }
             Verdict::OtherRequest => Ending::Unknown,
         }
@@ -144,7 +206,7 @@
         if self.meter.is_complete() || body_ended {
             Ending::Unknown
         } else {
-            Ending::NotExecuted(NotExecuted(Evidence::Incomplete))
+            Ending::NotExecuted(NotExecuted(Evidence::Incomplete(self.connection)))
         }
     }
 }
@@ -160,7 +222,9 @@
 enum AttemptState {
     /// In progress, or ended without proof that the request was not executed.
     MayRun,
-    NotExecuted,
+    /// Not permitted, so nothing of it was sent.
+    NotPermitted,
+    NotExecuted(NotExecuted),
 }
 
 impl Attempts {
@@ -183,21 +247,31 @@
         self.states.push(if allowed {
             AttemptState::MayRun
         } else {
-            AttemptState::NotExecuted
+            AttemptState::NotPermitted
         });
         allowed.then_some(SendPermit(()))
     }
 
     /// Records that an attempt has ended without being executed.
-    pub fn record_not_executed(&mut self, number: AttemptNumber, _proof: NotExecuted) {
-        self.states[number.0 as usize] = AttemptState::NotExecuted;
+    pub fn record_not_executed(&mut self, number: AttemptNumber, proof: NotExecuted) {
+        self.states[number.0 as usize] = AttemptState::NotExecuted(proof);
     }
 
     /// Returns whether no attempt was executed or can still be executed.
     pub fn none_executed(&self) -> bool {
         self.states
             .iter()
-            .all(|state| matches!(state, AttemptState::NotExecuted))
+            .all(|state| !matches!(state, AttemptState::MayRun))
+    }
+
+    /// Returns the proof that no attempt was executed or can still be executed; `None` if one was or can.
+    pub fn proof(&self) -> Option<NoneExecuted> {
+        let evidence = self.states.iter().filter_map(|state| match state {
+            AttemptState::NotExecuted(NotExecuted(evidence)) => Some(*evidence),
+            AttemptState::MayRun | AttemptState::NotPermitted => None,
+        });
+        self.none_executed()
+            .then(|| NoneExecuted(evidence.collect()))
     }
 
     /// Returns whether no attempt was made.
--- a/crates/gateway/src/backends/attempt.rs
+++ b/crates/gateway/src/backends/attempt.rs
@@ -160,7 +160,7 @@
         let length = request.body.length();
         let body_bytes = length.map_or(usize::MAX, |length| length as usize);
         connection.meter.start_request(body_bytes);
-        let attempt = permit.start_sending(connection.meter.clone());
+        let attempt = permit.start_sending(connection.id, connection.meter.clone());
         let sent = connection
             .send
             .send_request(self.build_request(request, time_left));
--- a/crates/gateway/src/backends/connection.rs
+++ b/crates/gateway/src/backends/connection.rs
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use super::connection_pools::ConnectionPools;
+use crate::attempts::ConnectionId;
 use crate::bodies::Upload;
 use crate::messages::Socket;
 use crate::sizes::MAX_HEAD;
@@ -79,6 +80,7 @@
 
 /// A connection that carries one attempt at a time.
 pub(super) struct BackendConnection {
+    pub(super) id: ConnectionId,
     pub(super) send: SendRequest<Upload>,
     pub(super) socket: Weak<Socket>,
     pub(super) meter: Rc<WriteMeter>,
@@ -138,6 +140,7 @@
         .await?;
     tokio::task::spawn_local(async move { driver.await.ok() });
     Ok(BackendConnection {
+        id: pools.next_connection_id(),
         send,
         socket: Rc::downgrade(&socket),
         meter,
--- a/crates/gateway/src/backends/connection_pools.rs
+++ b/crates/gateway/src/backends/connection_pools.rs
@@ -9,6 +9,7 @@
 
 use super::connection::BackendConnection;
 use super::protocol::BackendProtocol;
+use crate::attempts::ConnectionId;
 use crate::memory_budget::MemoryBudget;
 
 /// Fraction of the idle timeout of the backends after which idle connections are closed on this side, as numerator and
@@ -34,6 +35,8 @@
     pub max_connections: usize,
     /// Number of open connections.
     pub open_connections: Rc<Cell<usize>>,
+    /// Number of connections that were ever opened.
+    opened_connections: Cell<u64>,
     /// Pools of all backends by backend name.
     pools: RefCell<Vec<(String, Weak<Pool>)>>,
     pub(super) metrics: Metrics,
@@ -61,6 +64,7 @@
             protocol,
             max_connections,
             open_connections: Rc::default(),
+            opened_connections: Cell::default(),
             pools: RefCell::default(),
             metrics: metrics.clone(),
             response_memory: MemoryBudget::new(body_bytes),
@@ -73,6 +77,13 @@
             .set(timeout * IDLE_FRACTION.0 / IDLE_FRACTION.1);
     }
 
+    /// Returns the id of a connection that was opened.
+    pub(super) fn next_connection_id(&self) -> ConnectionId {
+        let number = self.opened_connections.get() + 1;
+        self.opened_connections.set(number);
+        ConnectionId(number)
+    }
+
     /// Returns the pool of a backend. Actors of backends with the same name share a pool; a backend without a name has
     /// its own.
     pub(super) fn pool(&self, name: &str) -> Rc<Pool> {
--- a/crates/gateway/src/clients/invocation.rs
+++ b/crates/gateway/src/clients/invocation.rs
@@ -12,6 +12,7 @@
 
 use super::connection::{ClientConnection, ConnectionState};
 use super::{ClientResponse, Clients, DecodedRequest, Rejection, empty_rejection};
+use crate::attempts::NoneExecuted;
 use crate::bodies::{self, RequestBody, ResponseBody, StreamEnd, StreamedBody};
 use crate::log::log;
 use crate::messages::{Answer, ForwardedRequest, ToDispatcher};
@@ -28,7 +29,7 @@
         let answer = Answer::Throttled {
             retry_after: Some(SHUTDOWN_RETRY_DELAY),
             reason: RejectReason::QueueTooLong,
-            none_executed: true,
+            none_executed: Some(NoneExecuted::without_attempts()),
         };
         self.protocol.encode("", None, answer)
     }
--- a/crates/gateway/src/dispatcher/actions.rs
+++ b/crates/gateway/src/dispatcher/actions.rs
@@ -90,7 +90,7 @@
     ) {
         let request = self.state.requests.get(&invocation_id);
         let was_sent = request.is_some_and(|request| !request.attempts.is_empty());
-        let none_executed = request.is_none_or(|request| request.attempts.none_executed());
+        let none_executed = request.and_then(|request| request.attempts.proof());
         let when = if was_sent {
             AFTER_ATTEMPT
         } else {
--- a/crates/gateway/src/dispatcher/overdue.rs
+++ b/crates/gateway/src/dispatcher/overdue.rs
@@ -206,7 +206,7 @@
         } => Answer::Throttled {
             retry_after,
             reason,
-            none_executed: request.attempts.none_executed(),
+            none_executed: request.attempts.proof(),
         },
         other => other,
     }
--- a/crates/gateway/src/dispatcher/shutdown.rs
+++ b/crates/gateway/src/dispatcher/shutdown.rs
@@ -3,6 +3,7 @@
 use damsonbeam::interface::{Event, InvocationId, RejectReason};
 
 use super::Dispatcher;
+use crate::attempts::NoneExecuted;
 use crate::messages::{Answer, Unanswered};
 use crate::shutdown_admission::SHUTDOWN_RETRY_DELAY;
 
@@ -11,16 +12,17 @@
     /// time to try another gateway. Returns the counts.
     pub(super) fn refuse_unsent(&mut self) -> Unanswered {
         let unanswered = self.unanswered();
-        let (unsent, in_progress): (Vec<InvocationId>, Vec<InvocationId>) = unanswered
-            .into_iter()
-            .partition(|invocation_id| self.state.requests[invocation_id].attempts.none_executed());
-        for invocation_id in &unsent {
-            self.answer_without_rules(*invocation_id, refusal());
-        }
-        Unanswered {
-            refused: unsent.len(),
-            in_progress: in_progress.len(),
+        let mut counts = Unanswered::default();
+        for invocation_id in unanswered {
+            match self.state.requests[&invocation_id].attempts.proof() {
+                Some(proof) => {
+                    counts.refused += 1;
+                    self.answer_without_rules(invocation_id, refusal(proof));
+                }
+                None => counts.in_progress += 1,
+            }
         }
+        counts
     }
 
     /// Answers all open requests: refuses those that were not executed, and answers those that may have been with an
@@ -50,10 +52,10 @@
     }
 }
 
-fn refusal() -> Answer {
+fn refusal(proof: NoneExecuted) -> Answer {
     Answer::Throttled {
         retry_after: Some(SHUTDOWN_RETRY_DELAY),
         reason: RejectReason::QueueTooLong,
-        none_executed: true,
+        none_executed: Some(proof),
     }
 }
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::attempts::{Ending, Repeatable, SendPermit};
+use crate::attempts::{Ending, NoneExecuted, Repeatable, SendPermit};
 use crate::bodies::{RequestBody, ResponseBody};
 
 /// A message to the dispatcher.
@@ -107,8 +107,8 @@
         retry_after: Option<Duration>,
         /// The reason, for metrics.
         reason: RejectReason,
-        /// No attempt was executed or still can be.
-        none_executed: bool,
+        /// Proof that no attempt was executed or still can be; `None` if one may have been.
+        none_executed: Option<NoneExecuted>,
     },
     /// The invocation failed.
     Errored,
--- a/crates/gateway/tests/attempts.rs
+++ b/crates/gateway/tests/attempts.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use damsonbeam::interface::{Outcome, RepeatMode};
-use damsonbeam_gateway::attempts::{Attempts, Ending, Refusal, Repeatable, Verdict};
+use damsonbeam_gateway::attempts::{Attempts, ConnectionId, Ending, Refusal, Repeatable, Verdict};
 use damsonbeam_gateway::write_meter::WriteMeter;
 
 /// Returns all endings of an attempt of which the bytes `written` were written, each with whether it proves that the
@@ -17,7 +17,7 @@
         let permit = Attempts::new(None)
             .start_attempt()
             .expect("the first attempt always gets a permit");
-        let sent = permit.start_sending(meter.clone());
+        let sent = permit.start_sending(ConnectionId(1), meter.clone());
         match case {
             0 => (sent.end_without_response(false), !is_complete),
             1 => (sent.end_without_response(true), false),
@@ -62,6 +62,7 @@
                 attempts.record_not_executed(first, proof);
             }
             assert_eq!(attempts.none_executed(), is_proof);
+            assert_eq!(attempts.proof().is_some(), is_proof);
             assert_eq!(attempts.start_attempt().is_some(), is_proof);
         }
     }
--- a/crates/proxy/src/protocol.rs
+++ b/crates/proxy/src/protocol.rs
@@ -9,7 +9,7 @@
 
 use damsonbeam::interface::{CustomerId, GatewayId, Invocation, InvocationId, RejectReason};
 use damsonbeam_control::config::{Route, Tenant};
-use damsonbeam_gateway::attempts::{Refusal, Repeatable, Verdict};
+use damsonbeam_gateway::attempts::{NoneExecuted, Refusal, Repeatable, Verdict};
 use damsonbeam_gateway::backends::{BackendProtocol, keep_end_to_end};
 use damsonbeam_gateway::bodies::ResponseBody;
 use damsonbeam_gateway::clients::{
@@ -111,22 +111,24 @@
         &self,
         id: &str,
         cause: Cause,
-        may_have_run: bool,
+        none_executed: Option<&NoneExecuted>,
         route_and_tenant: &RouteAndTenant,
     ) {
         let now = self.clock.now();
+        let may_have_run = none_executed.is_none();
         self.unserved
             .borrow_mut()
             .add(id, cause, may_have_run, route_and_tenant, now);
-        let execution = if may_have_run {
-            "it may have run"
-        } else {
-            "it has not run"
-        };
-        log::debug!(
-            "request: {id} is not served ({}), {execution}.",
-            cause.name()
-        );
+        match none_executed {
+            Some(proof) => log::debug!(
+                "request: {id} is not served ({}), it has not run: {proof}.",
+                cause.name()
+            ),
+            None => log::debug!(
+                "request: {id} is not served ({}), it may have run.",
+                cause.name()
+            ),
+        }
     }
 
     /// Records a request without a route or tenant, and returns its rejection.
@@ -135,7 +137,12 @@
             RoutingError::NoRoute => (Cause::NoRoute, StatusCode::NOT_FOUND),
             RoutingError::InvalidApiKey => (Cause::UnknownKey, StatusCode::UNAUTHORIZED),
         };
-        self.record_unserved(id, cause, false, &RouteAndTenant::default());
+        self.record_unserved(
+            id,
+            cause,
+            Some(&NoneExecuted::without_attempts()),
+            &RouteAndTenant::default(),
+        );
         empty_rejection(status)
     }
 
@@ -162,7 +169,8 @@
         let mut dispatchers = self.dispatchers.borrow_mut();
         let Some(target) = dispatchers.dispatch(route, service, &home_regions) else {
             // The home regions of route and tenant have no region in common, or the service has no backends.
-            self.record_unserved(head.id, Cause::NoBackend, false, &route_and_tenant);
+            let unsent = NoneExecuted::without_attempts();
+            self.record_unserved(head.id, Cause::NoBackend, Some(&unsent), &route_and_tenant);
             return Err(retry_later(
                 StatusCode::SERVICE_UNAVAILABLE,
                 Some(RETRY_AFTER_NO_BACKEND),
@@ -288,11 +296,17 @@
                 self.record_unserved(
                     name,
                     Cause::rejected(*reason),
-                    !none_executed,
+                    none_executed.as_ref(),
                     &route_and_tenant,
                 );
             }
-            Answer::Errored => self.record_unserved(name, Cause::Failed, true, &route_and_tenant),
+            Answer::Errored => self.record_unserved(name, Cause::Failed, None, &route_and_tenant),
+            Answer::Succeeded(response) if !response.status.is_success() => {
+                log::debug!(
+                    "request: {name} gets its backend's own status {}.",
+                    response.status
+                );
+            }
             Answer::Succeeded(_) => {}
         }
         let mut response = response(answer);
@@ -322,15 +336,15 @@
         Answer::Throttled {
             retry_after,
             reason: RejectReason::Quota | RejectReason::WindowFull,
-            none_executed: true,
+            none_executed: Some(_),
         } => retry_later(StatusCode::TOO_MANY_REQUESTS, retry_after),
         Answer::Throttled {
             retry_after,
-            none_executed: true,
+            none_executed: Some(_),
             ..
         } => retry_later(StatusCode::SERVICE_UNAVAILABLE, retry_after),
         Answer::Throttled {
-            none_executed: false,
+            none_executed: None,
             reason: RejectReason::DeadlineReached,
             ..
         } => empty_response(StatusCode::GATEWAY_TIMEOUT),
