Proxy: a backend's own 408, 421, 429 or 503 is no promise to the client

Callers saw 408, 429 and 503 for requests that had run, and sent them again, as these statuses permit.

Cause: a failure with the request's id was passed on with its status, whatever the status was. To clients these four promise that the request has not run and never will; a backend that gives one without X-Not-Executed promises nothing. Class: a promise that reaches the caller on a way that asks for no proof.

The test promise_status_of_a_backend_without_proof_reaches_the_client_as_502 failed before: the client got 408 with the seal.

The proxy answers 502 without a seal instead.

--- a/crates/proxy/src/protocol.rs
+++ b/crates/proxy/src/protocol.rs
@@ -352,6 +352,18 @@
     }
 }
 
+/// Returns whether a status promises clients that the request has not run and never will. Only the proxy can promise
+/// that, as it takes the proof for all attempts.
+fn promises_non_execution(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Returns an empty response with a `Retry-After` header, in seconds with three decimals, where a delay is given.
 fn retry_later(status: StatusCode, after: Option<Duration>) -> Response<ResponseBody> {
     let mut response = empty_response(status);
@@ -401,7 +413,11 @@
         match verdict {
             Verdict::Succeeded => true,
             // An error status that the backend itself sent in answer to this request.
-            Verdict::Failed => !status.is_success() && headers.contains_key(&REQUEST_ID),
+            Verdict::Failed => {
+                !status.is_success()
+                    && !promises_non_execution(status)
+                    && headers.contains_key(&REQUEST_ID)
+            }
             _ => false,
         }
     }
--- a/crates/proxy/tests/data_plane.rs
+++ b/crates/proxy/tests/data_plane.rs
@@ -632,6 +632,28 @@
     });
 }
 
+/// Guards against REFUSED: a backend that ran a request and fails with 408, 429 or 503 gives no promise.
+#[test]
+fn promise_status_of_a_backend_without_proof_reaches_the_client_as_502() {
+    run_test(async {
+        for status in ["408 Timeout", "429 Slow Down", "503 Busy"] {
+            let fails = start_backend(move |_, id| {
+                vec![Step::Send(format!(
+                    "HTTP/1.1 {status}\r\nX-Request-Id: {id}\r\nX-Response-Seal: s\r\nContent-Length: 0\r\n\r\n"
+                ))]
+            })
+            .await;
+            let proxy = start_proxy(&[&fails], 1.0).await;
+            for path in ["/fields/", "/read/"] {
+                let mut socket = proxy.send(path, path, 2500).await;
+                let head = read_head(&mut socket).await.expect("an answer");
+                assert!(head.starts_with("HTTP/1.1 502 "), "{status}: {head}");
+                assert_eq!(header(&head, "x-response-seal"), None, "{status}");
+            }
+        }
+    });
+}
+
 /// A connection that its backend closed while it was idle must not be used again: a request written to it would get no
 /// answer, and might not be repeatable.
 #[test]
