Gateway: an attempt goes to another connection than the request's earlier attempts

Callers saw 503 with the promise that the request had not run, while a backend ran it.

Cause: answers are told apart by the request's id alone, and all attempts of a request carry the same id. The second copy of a refusal came while the next attempt of the same request was under way on the same connection, and was read as its answer. Class: a proof from one attempt used for another.

The request knows the connections that carried its attempts, and the pool gives it another one, so a copy meets an idle connection, which it closes, or another request, whose id differs. A copy can no more be taken for the answer to a later attempt.

--- a/crates/gateway/src/backends/attempt.rs
+++ b/crates/gateway/src/backends/attempt.rs
@@ -160,6 +160,7 @@
         let length = request.body.length();
         let body_bytes = length.map_or(usize::MAX, |length| length as usize);
         connection.meter.start_request(body_bytes);
+        request.connections.record(connection.id);
         let attempt = permit.start_sending(connection.id, connection.meter.clone());
         let sent = connection
             .send
--- a/crates/gateway/src/backends/mod.rs
+++ b/crates/gateway/src/backends/mod.rs
@@ -22,7 +22,7 @@
 pub use self::protocol::{
     BackendProtocol, CORRELATION_ID, PlatformBackends, TIME_LEFT, keep_end_to_end,
 };
-use crate::messages::{BackendHandle, ToBackend};
+use crate::messages::{BackendHandle, ToBackend, UsedConnections};
 
 /// Capacity of a backend's mailbox, larger than the number of attempts that a backend has at any time.
 const MAILBOX_CAPACITY: usize = 256;
@@ -82,7 +82,7 @@
                 }
                 message = self.mailbox.recv(), if mailbox_open => match message {
                     Some(ToBackend::Send(outgoing)) => {
-                        let idle = self.take_idle(&pool);
+                        let idle = self.take_idle(&pool, &outgoing.request.connections);
                         running.push(run_attempt(self.target(), idle, outgoing));
                     }
                     Some(ToBackend::CloseIdle) => pool.borrow_mut().clear(),
@@ -111,10 +111,16 @@
         }
     }
 
-    /// Takes the most recently used connection that can be reused from the pool and closes those that it skips.
-    fn take_idle(&self, pool: &Pool) -> Option<BackendConnection> {
+    /// Takes from the pool the most recently used connection that can carry an attempt of a request, and closes those that
+    /// can carry no attempt any more. `used` are the connections of the request's earlier attempts.
+    fn take_idle(&self, pool: &Pool, used: &UsedConnections) -> Option<BackendConnection> {
         let timeout = self.pools.idle_timeout.get();
-        while let Some((connection, since)) = pool.borrow_mut().pop() {
+        let mut idle = pool.borrow_mut();
+        for position in (0..idle.len()).rev() {
+            if used.contains(idle[position].0.id) {
+                continue;
+            }
+            let (connection, since) = idle.remove(position);
             if since.elapsed() < timeout && connection.is_reusable() {
                 return Some(connection);
             }
--- a/crates/gateway/src/clients/invocation.rs
+++ b/crates/gateway/src/clients/invocation.rs
@@ -15,7 +15,7 @@
 use crate::attempts::NoneExecuted;
 use crate::bodies::{self, RequestBody, ResponseBody, StreamEnd, StreamedBody};
 use crate::log::log;
-use crate::messages::{Answer, ForwardedRequest, ToDispatcher};
+use crate::messages::{Answer, ForwardedRequest, ToDispatcher, UsedConnections};
 use crate::shutdown_admission::SHUTDOWN_RETRY_DELAY;
 use crate::sizes::{MAX_BODY, MAX_BUFFERED_BODY};
 
@@ -97,6 +97,7 @@
             uri: head.uri,
             headers: std::mem::take(&mut decoded.headers),
             body,
+            connections: UsedConnections::default(),
         });
         self.protocol
             .request_accepted(&forwarded, &mut decoded.context);
--- a/crates/proxy/tests/data_plane.rs
+++ b/crates/proxy/tests/data_plane.rs
@@ -632,6 +632,29 @@
     });
 }
 
+/// Guards against REFUSED: a second copy of a refusal is not the answer to the request's next attempt.
+#[test]
+fn second_copy_of_a_refusal_does_not_refuse_the_next_attempt() {
+    let refusal = |id: &str| {
+        Step::Send(format!(
+            "HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        ))
+    };
+    run_test(async move {
+        for path in ["/fields/", "/read/"] {
+            let script = move |nth, id: &str| match nth {
+                0 => vec![refusal(id), Step::Wait(40), refusal(id)],
+                _ => vec![Step::Wait(120), answer(id, "mine")],
+            };
+            let full = start_backend(script).await;
+            let proxy = start_proxy(&[&full], 2.0).await;
+            assert_eq!(proxy.send_and_read(path, "one").await, (200, "mine".into()));
+            let connections: Vec<usize> = full.arrivals.borrow().iter().map(|a| a.1).collect();
+            assert_eq!(connections, [0, 1], "{path}");
+        }
+    });
+}
+
 /// Guards against REFUSED: a backend that ran a request and fails with 408, 429 or 503 gives no promise.
 #[test]
 fn promise_status_of_a_backend_without_proof_reaches_the_client_as_502() {
