Gateway: a streamed body has one reader, and each attempt sends all of it or none

Backends ran uploads that no client had sent: the first 64 KB of one whose client had left, and bodies with a piece missing.

Cause: all attempts of a request polled one stream. The attempt that met the client's break swallowed the error, and the next one read the broken stream as ended: in chunks that looks whole. After an early refusal the connections of both attempts read the stream in turn. Class: attempts share what belongs to one of them.

The rest of a body has one reader that can't be copied. An attempt takes it together with the beginning or is not sent, and gives it back when it ends, before the next attempt may start; a connection whose backend answered early is closed, unless it still carries the response. A break is recorded in the body, ends the claim and is reported to the decision module, so no further attempt starts. Whether the last byte may have been sent is read from the attempt's own upload after its connection was closed; it was read before, from a flag that all attempts shared.

--- a/crates/ctl/tests/soak/backend.rs
+++ b/crates/ctl/tests/soak/backend.rs
@@ -20,6 +20,8 @@
 const QUEUE_LENGTH: usize = 2;
 /// The longest delay of an early answer to a long upload, and of reading the upload after it.
 const MAX_EARLY_DELAY_MS: u64 = 30;
+/// The longest time between the head and the body of an answer without a length.
+const MAX_BODY_DELAY_MS: u64 = 60;
 /// The longest delay of a second copy of an answer.
 const MAX_COPY_DELAY_MS: u64 = 100;
 
@@ -85,6 +87,15 @@
     }
 }
 
+/// The sending side of a connection; `None` once the connection has ended, so that no copy of an answer follows its end.
+type Writer = Arc<Mutex<Option<TcpStream>>>;
+
+/// Sends text as one piece; returns `None` if the connection has ended.
+fn write(writer: &Writer, text: &str) -> Option<()> {
+    let mut socket = writer.lock().expect("not poisoned");
+    socket.as_mut()?.write_all(text.as_bytes()).ok()
+}
+
 /// The identity of a backend, which changes with each start.
 #[derive(Clone)]
 pub struct Life {
@@ -210,12 +221,13 @@
 
     fn serve(&self, socket: TcpStream) {
         let mut reader = BufReader::new(socket.try_clone().expect("cloned"));
-        let mut writer = socket;
+        let writer: Writer = Arc::new(Mutex::new(Some(socket)));
         while let Some(head) = HttpMessage::read_head(&mut reader) {
-            if self.handle(head, &mut reader, &mut writer).is_none() {
+            if self.handle(head, &mut reader, &writer).is_none() {
                 break;
             }
         }
+        *writer.lock().expect("not poisoned") = None;
     }
 
     /// Handles one request; returns `None` where the connection ends with it.
@@ -223,7 +235,7 @@
         &self,
         mut request: HttpMessage,
         reader: &mut BufReader<TcpStream>,
-        writer: &mut TcpStream,
+        writer: &Writer,
     ) -> Option<()> {
         let faults = self.faults.lock().expect("not poisoned").clone();
         let id = request
@@ -241,7 +253,7 @@
         }
         let fault = faults.draw(&mut self.rng.lock().expect("not poisoned"));
         if fault == Some(FaultKind::Reset) {
-            reset(writer);
+            reset(reader.get_ref());
             return None;
         }
         let deadline_ms = request
@@ -250,7 +262,7 @@
         let until = Instant::now() + Duration::from_millis(deadline_ms.unwrap_or(60_000));
         if !self.take_place() {
             if self.resets_when_full {
-                reset(writer);
+                reset(reader.get_ref());
                 return None;
             }
             return self.send(writer, &refusal("503 Full", &id), &faults);
@@ -267,7 +279,7 @@
         if Instant::now() >= until {
             return self.send(writer, &failure("504 Late", &id), &faults);
         }
-        self.answer(fault, &id, writer, &faults)
+        self.answer(fault, &id, reader, writer, &faults)
     }
 
     /// Turns a long upload away before it is in, then reads it to its end.
@@ -276,12 +288,10 @@
         id: &str,
         mut request: HttpMessage,
         reader: &mut BufReader<TcpStream>,
-        writer: &mut TcpStream,
+        writer: &Writer,
     ) -> Option<()> {
         thread::sleep(Duration::from_millis(self.below(MAX_EARLY_DELAY_MS)));
-        writer
-            .write_all(refusal("503 Too Much", id).as_bytes())
-            .ok()?;
+        write(writer, &refusal("503 Too Much", id))?;
         thread::sleep(Duration::from_millis(self.below(MAX_EARLY_DELAY_MS)));
         request.read_body(reader)?;
         self.history.record_late_body(id, &self.name, &request.body);
@@ -292,7 +302,8 @@
         &self,
         fault: Option<FaultKind>,
         id: &str,
-        writer: &mut TcpStream,
+        reader: &BufReader<TcpStream>,
+        writer: &Writer,
         faults: &Faults,
     ) -> Option<()> {
         let body = answer_body(id);
@@ -312,24 +323,27 @@
             }
             Some(FaultKind::Cut) => {
                 let end = self.below(whole.len() as u64) as usize;
-                writer.write_all(&whole.as_bytes()[..end]).ok()?;
+                write(writer, &whole[..end])?;
                 None
             }
             Some(FaultKind::Garbage) => {
-                writer.write_all(b"\x00\x17no answer\r\n\r\n").ok()?;
+                write(writer, "\x00\x17no answer\r\n\r\n")?;
                 None
             }
             Some(FaultKind::Unframed) => {
                 let head =
                     format!("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nX-Request-Id: {id}\r\n\r\n");
-                writer.write_all(head.as_bytes()).ok()?;
-                thread::sleep(Duration::from_millis(self.below(60)));
-                writer.write_all(body.as_bytes()).ok()?;
+                let mut socket = writer.lock().expect("not poisoned");
+                let socket = socket.as_mut()?;
+                socket.write_all(head.as_bytes()).ok()?;
+                // No copy of another answer may come between head and body.
+                thread::sleep(Duration::from_millis(self.below(MAX_BODY_DELAY_MS)));
+                socket.write_all(body.as_bytes()).ok()?;
                 None
             }
             Some(FaultKind::Lost | FaultKind::Reset) => {
                 match self.below(3) {
-                    0 => reset(writer),
+                    0 => reset(reader.get_ref()),
                     1 => thread::sleep(Duration::from_secs(3)),
                     _ => {}
                 }
@@ -339,14 +353,14 @@
     }
 
     /// Sends an answer and, in trouble, sends it again some time later.
-    fn send(&self, writer: &mut TcpStream, text: &str, faults: &Faults) -> Option<()> {
-        writer.write_all(text.as_bytes()).ok()?;
+    fn send(&self, writer: &Writer, text: &str, faults: &Faults) -> Option<()> {
+        write(writer, text)?;
         if self.chance(faults.share(FaultKind::SecondCopy)) {
             let delay = Duration::from_millis(self.below(MAX_COPY_DELAY_MS));
-            let (mut later, text) = (writer.try_clone().ok()?, text.to_owned());
+            let (writer, text) = (writer.clone(), text.to_owned());
             thread::spawn(move || {
                 thread::sleep(delay);
-                later.write_all(text.as_bytes()).ok();
+                write(&writer, &text);
             });
         }
         Some(())
--- a/crates/gateway/src/backends/attempt.rs
+++ b/crates/gateway/src/backends/attempt.rs
@@ -15,8 +15,8 @@
 use super::connection_pools::ConnectionPools;
 use super::protocol::load_report;
 use super::response::{ReceivedResponse, ResponseError, receive};
-use crate::attempts::{Ending, SendPermit, SentAttempt, Verdict};
-use crate::bodies::{StreamEnd, Upload};
+use crate::attempts::{Ending, SentAttempt, Verdict};
+use crate::bodies::{RequestBody, StreamEnd, Upload, UploadHandle};
 use crate::log::log;
 use crate::messages::{
     AttemptEnded, BackendResponse, CancelHandle, ForwardedRequest, OutgoingAttempt, ToDispatcher,
@@ -60,7 +60,11 @@
         self.report_end(ending, None, vec![]).await;
     }
 
-    async fn report_body_consumed(&self) {
+    /// Reports that no further attempt can send the body, if that is so.
+    async fn report_body(&self, body: &RequestBody) {
+        if body.is_kept() {
+            return;
+        }
         let message = ToDispatcher::BodyConsumed {
             invocation_id: self.invocation_id,
         };
@@ -68,12 +72,29 @@
     }
 }
 
-/// Result of writing a request to a connection and reading the response.
-struct Exchange {
-    attempt: SentAttempt,
-    /// Whether a streamed body has been read to its end, so that its last byte may already be on the wire.
-    body_ended: bool,
-    response: Result<ReceivedResponse, ResponseError>,
+/// An attempt that was handed to a connection.
+struct RunningAttempt<'a> {
+    request: &'a ForwardedRequest,
+    cancel_handle: &'a CancelHandle,
+    reporter: &'a AttemptReporter,
+    sent: SentAttempt,
+    upload: UploadHandle,
+}
+
+impl RunningAttempt<'_> {
+    /// Closes the connection and takes the body away from it.
+    async fn close_connection(&self) {
+        self.cancel_handle.cancel();
+        self.upload.release();
+        self.reporter.report_body(&self.request.body).await;
+    }
+
+    /// Ends an attempt that got no usable response. What was written is looked at once nothing more can be written.
+    async fn end_without_response(self) {
+        self.close_connection().await;
+        let ending = self.sent.end_without_response(self.upload.has_ended());
+        self.reporter.report_failure(ending).await;
+    }
 }
 
 /// Carries out an attempt. Returns its connection if the connection can be reused.
@@ -112,24 +133,32 @@
             .await;
         return None;
     }
+    let Some((body, upload)) = Upload::claim(&request.body) else {
+        reporter.report_body(&request.body).await;
+        reporter
+            .report_failure(Ending::NotExecuted(permit.give_up()))
+            .await;
+        return Some(connection);
+    };
     if let Some(overdue) = overdue_attempt {
         overdue.cancel();
     }
     *cancel_handle.socket.borrow_mut() = connection.socket.clone();
-    let exchange = target
-        .exchange(&mut connection, permit, &request, time_left)
-        .await;
-    // The part of a streamed body that was sent is not kept in memory, so no other attempt can send this body.
-    if request
-        .body
-        .streamed()
-        .is_some_and(|body| body.is_consumed())
-    {
-        reporter.report_body_consumed().await;
+    connection.start_request(&request);
+    let sent = permit.start_sending(connection.id, connection.meter.clone());
+    let outgoing = target.build_request(&request, body, time_left);
+    let response = target.exchange(&mut connection, outgoing).await;
+    if upload.has_ended() && !connection.meter.is_complete() {
+        target.pools.metrics.sends.inc();
     }
-    let is_reusable = target
-        .finish(exchange, &request, &cancel_handle, &reporter)
-        .await;
+    let attempt = RunningAttempt {
+        request: &request,
+        cancel_handle: &cancel_handle,
+        reporter: &reporter,
+        sent,
+        upload,
+    };
+    let is_reusable = target.finish(attempt, response).await;
     (is_reusable && connection.send.ready().await.is_ok()).then_some(connection)
 }
 
@@ -152,37 +181,19 @@
     async fn exchange(
         &self,
         connection: &mut BackendConnection,
-        permit: SendPermit,
-        request: &ForwardedRequest,
-        time_left: Duration,
-    ) -> Exchange {
-        // With an unknown length, the last byte of a body is known only at the end of its stream.
-        let length = request.body.length();
-        let body_bytes = length.map_or(usize::MAX, |length| length as usize);
-        connection.meter.start_request(body_bytes);
-        request.connections.record(connection.id);
-        let attempt = permit.start_sending(connection.id, connection.meter.clone());
-        let sent = connection
-            .send
-            .send_request(self.build_request(request, time_left));
-        let response = match sent.await {
-            Ok(response) => receive(&self.pools.response_memory, response).await,
-            Err(error) => Err(error.into()),
-        };
-        let streamed = request.body.streamed();
-        let body_ended = streamed.is_some_and(|body| body.is_complete());
-        if body_ended && !connection.meter.is_complete() {
-            self.pools.metrics.sends.inc();
-        }
-        Exchange {
-            attempt,
-            body_ended,
-            response,
-        }
+        outgoing: Request<Upload>,
+    ) -> Result<ReceivedResponse, ResponseError> {
+        let response = connection.send.send_request(outgoing).await?;
+        receive(&self.pools.response_memory, response).await
     }
 
-    fn build_request(&self, request: &ForwardedRequest, time_left: Duration) -> Request<Upload> {
-        let mut outgoing = Request::new(Upload::new(&request.body));
+    fn build_request(
+        &self,
+        request: &ForwardedRequest,
+        upload: Upload,
+        time_left: Duration,
+    ) -> Request<Upload> {
+        let mut outgoing = Request::new(upload);
         *outgoing.method_mut() = request.method.clone();
         *outgoing.uri_mut() = request.uri.clone();
         *outgoing.headers_mut() = request.headers.clone();
@@ -194,46 +205,55 @@
     /// Reports the end of the attempt to the dispatcher. Returns whether the connection can be reused.
     async fn finish(
         &self,
-        exchange: Exchange,
-        request: &ForwardedRequest,
-        cancel_handle: &CancelHandle,
-        reporter: &AttemptReporter,
+        attempt: RunningAttempt<'_>,
+        response: Result<ReceivedResponse, ResponseError>,
     ) -> bool {
-        let Exchange {
-            attempt,
-            body_ended,
-            response,
-        } = exchange;
-        let ReceivedResponse {
-            status,
-            mut headers,
-            body,
-            stream_end,
-        } = match response {
+        let response = match response {
             Ok(response) => response,
             Err(error) => {
-                if !cancel_handle.cancelled.get() {
+                if !attempt.cancel_handle.cancelled.get() {
                     log!(warn, "delivery-broken", "{}: {error}", self.address);
                 }
-                // Nothing that still arrives on this connection belongs to a request.
-                cancel_handle.cancel();
-                reporter
-                    .report_failure(attempt.end_without_response(body_ended))
-                    .await;
+                attempt.end_without_response().await;
                 return false;
             }
         };
         let protocol = &self.pools.protocol;
-        let verdict = protocol.verdict(&request.headers, status, &headers);
+        let request_headers = &attempt.request.headers;
+        let verdict = protocol.verdict(request_headers, response.status, &response.headers);
         if verdict == Verdict::OtherRequest {
             // The response belongs to another request, and so may all further data on this connection.
-            cancel_handle.cancel();
-            reporter
-                .report_failure(attempt.end_with_response(verdict))
-                .await;
+            attempt.close_connection().await;
+            let ending = attempt.sent.end_with_response(verdict);
+            attempt.reporter.report_failure(ending).await;
             return false;
         }
-        *cancel_handle.socket.borrow_mut() = Weak::new();
+        self.report_response(attempt, verdict, response).await
+    }
+
+    /// Reports the response to the attempt's request. Returns whether the connection can be reused.
+    async fn report_response(
+        &self,
+        attempt: RunningAttempt<'_>,
+        verdict: Verdict,
+        response: ReceivedResponse,
+    ) -> bool {
+        let ReceivedResponse {
+            status,
+            mut headers,
+            body,
+            stream_end,
+        } = response;
+        // A backend that answers before the body's end gets no more of it, unless the connection still carries the
+        // response.
+        let is_early = attempt.upload.is_unfinished() && stream_end.is_none();
+        if is_early {
+            attempt.close_connection().await;
+        } else {
+            attempt.reporter.report_body(&attempt.request.body).await;
+        }
+        *attempt.cancel_handle.socket.borrow_mut() = Weak::new();
+        let protocol = &self.pools.protocol;
         if let Some(timeout) = protocol.idle_timeout(&headers) {
             self.pools.set_idle_timeout(timeout);
         }
@@ -248,13 +268,13 @@
                 body,
             }
         });
-        let ending = attempt.end_with_response(verdict);
-        reporter.report_end(ending, response, report).await;
+        let ending = attempt.sent.end_with_response(verdict);
+        attempt.reporter.report_end(ending, response, report).await;
         let is_complete = match stream_end {
             Some(end) => end.await == Ok(StreamEnd::Complete),
             None => true,
         };
-        is_complete && !closes_connection && !cancel_handle.cancelled.get()
+        is_complete && !is_early && !closes_connection && !attempt.cancel_handle.cancelled.get()
     }
 }
 
--- a/crates/gateway/src/backends/connection.rs
+++ b/crates/gateway/src/backends/connection.rs
@@ -19,7 +19,7 @@
 use super::connection_pools::ConnectionPools;
 use crate::attempts::ConnectionId;
 use crate::bodies::Upload;
-use crate::messages::Socket;
+use crate::messages::{ForwardedRequest, Socket};
 use crate::sizes::MAX_HEAD;
 use crate::write_meter::WriteMeter;
 
@@ -87,6 +87,15 @@
 }
 
 impl BackendConnection {
+    /// Prepares the connection for an attempt of a request.
+    pub(super) fn start_request(&self, request: &ForwardedRequest) {
+        // With an unknown length, the last byte of a body is known only at the end of its stream.
+        let length = request.body.length();
+        let body_bytes = length.map_or(usize::MAX, |length| length as usize);
+        self.meter.start_request(body_bytes);
+        request.connections.record(self.id);
+    }
+
     /// Returns whether the connection can carry another attempt: it is open and has no unread input.
     ///
     /// Input that arrived after the last response would be read as the response to the next request. Hyper notices such
--- a/crates/gateway/src/clients/invocation.rs
+++ b/crates/gateway/src/clients/invocation.rs
@@ -105,7 +105,7 @@
         let answer = open_invocation.dispatch(decoded, forwarded).await?;
         let latency = self.clock.now().saturating_sub(received);
         self.metrics.answer_seconds.observe(latency.as_secs_f64());
-        if let Some(streamed) = streamed.filter(|body| !body.is_complete()) {
+        if let Some(streamed) = streamed.filter(|body| !body.is_whole()) {
             connection.request_body_unread.set(true);
             tokio::task::spawn_local(async move { streamed.drain().await });
         }
