Quota: a proxy notices a silent coordinator though it has nothing to report

Cause: a proxy held the coordinator for lost once a report had been unanswered for 0.6 s. One that has few requests sends no report, so it learned of the loss with its next request or, after 2 s, from the connection; until then it admitted as if the others were quiet.

The coordinator is also held for lost once nothing has been heard of it for a second, two and a half heartbeats. Heartbeats and totals both count, so that a busy coordinator whose heartbeats are late is not taken for a silent one.

The simulation's proxies record the heartbeats that it always sent.

--- a/crates/proxy/src/process/proxy.rs
+++ b/crates/proxy/src/process/proxy.rs
@@ -185,6 +185,7 @@
             let quota = &mut self.quota_client.counter;
             quota.set_time_offset(offset_s, self.clock.now());
             quota.set_coordinator(time.term, control.coordinator_sender().is_some());
+            quota.record_coordinator_heartbeat(self.clock.now());
         }
     }
 
--- a/crates/proxy/src/quota/mod.rs
+++ b/crates/proxy/src/quota/mod.rs
@@ -43,6 +43,9 @@
 /// The coordinator counts as unresponsive once a report has been unanswered for this long: several
 /// round trips.
 const COORDINATOR_TIMEOUT: Duration = Duration::from_millis(600);
+/// The coordinator counts as unresponsive once nothing was heard of it for this long: two and a half of its heartbeats.
+/// A proxy that has nothing to report would not notice otherwise.
+const COORDINATOR_SILENCE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// A tenant is near its quota if its rate exceeds this fraction of the quota. The rate is estimated
 /// from the other proxies' reported admissions, or from the local demand assuming similar demand at
 /// every proxy, because a local surge is visible here before any proxy reports it.
@@ -98,6 +101,8 @@
     connected_term: u64,
     /// When the oldest unanswered report was sent.
     unanswered_since: Option<Duration>,
+    /// When the coordinator was last heard of; `None` before its first heartbeat.
+    coordinator_heard_at: Option<Duration>,
     counts: BTreeMap<String, Count>,
     tenants: HashMap<String, Tenant>,
     naming: SlotNaming,
@@ -149,6 +154,7 @@
             term: 0,
             connected_term: 0,
             unanswered_since: None,
+            coordinator_heard_at: None,
             counts: BTreeMap::new(),
             tenants: HashMap::new(),
             naming: SlotNaming::default(),
@@ -186,6 +192,11 @@
         self.set_connected(is_connected, is_new);
     }
 
+    /// Records a heartbeat of the coordinator.
+    pub fn record_coordinator_heartbeat(&mut self, now: Duration) {
+        self.coordinator_heard_at = Some(now);
+    }
+
     /// Records that the connection to the coordinator was lost.
     pub fn record_coordinator_disconnect(&mut self) {
         self.set_connected(false, false);
@@ -239,11 +250,14 @@
         self.naming.end(slot, slot_s)
     }
 
-    /// Returns whether the coordinator is disconnected or has left a report unanswered for too
-    /// long.
+    /// Returns whether the coordinator is disconnected, has left a report unanswered for too long
+    /// or has been silent for too long.
     fn is_coordinator_unresponsive(&self, now: Duration) -> bool {
         let is_overdue = |since: Duration| now >= since + COORDINATOR_TIMEOUT;
-        !self.is_connected || self.unanswered_since.is_some_and(is_overdue)
+        let is_silent = |heard_at: Duration| now >= heard_at + COORDINATOR_SILENCE_TIMEOUT;
+        !self.is_connected
+            || self.unanswered_since.is_some_and(is_overdue)
+            || self.coordinator_heard_at.is_some_and(is_silent)
     }
 
     /// Returns until when information about the other proxies is available. While a report is
--- a/crates/proxy/src/quota/reports.rs
+++ b/crates/proxy/src/quota/reports.rs
@@ -61,6 +61,7 @@
         }
         self.term = term;
         self.unanswered_since = None;
+        self.coordinator_heard_at = self.coordinator_heard_at.map(|_| now);
         for total in totals {
             if !self.counts.contains_key(&total.name) {
                 self.insert_reported_count(&total.name, now);
--- a/crates/proxy/tests/quota_simulation/simulation.rs
+++ b/crates/proxy/tests/quota_simulation/simulation.rs
@@ -292,6 +292,7 @@
             quota.set_time_offset(offset_s, now);
         }
         quota.set_coordinator(node.term, true);
+        quota.record_coordinator_heartbeat(now);
     }
 
     fn step_coordinator(&mut self, ms: u64) {
