--- a/crates/gateway/src/dispatcher/mod.rs
+++ b/crates/gateway/src/dispatcher/mod.rs
@@ -2,7 +2,9 @@
 //! actions.
 
 mod actions;
+mod attempt_end;
 mod attempt_policy;
+mod backend_updates;
 mod overdue;
 mod peer_reports;
 mod send_attempt;
@@ -16,21 +18,21 @@
 
 use damsonbeam::Rules;
 use damsonbeam::interface::{
-    AttemptNumber, BackendId, Event, GatewayId, HandoverState, Health, InvocationId, ListUpdate,
-    LoadReport, Outcome,
+    AttemptNumber, BackendId, Event, GatewayId, HandoverState, InvocationId, Outcome,
 };
 use damsonbeam_admin::Metrics;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep_until;
 
+use self::attempt_end::outcome_name;
 pub use self::attempt_policy::{AttemptDecision, AttemptPolicy};
 use self::overdue::Overdue;
 use crate::account::Account;
-use crate::attempts::{Attempts, Ending};
+use crate::attempts::Attempts;
 use crate::clock::Clock;
 use crate::messages::{
-    Answer, AttemptEnded, BackendHandle, BackendListUpdate, BackendResponse, CancelHandle,
-    ForwardedRequest, PeerDatagram, ToCounter, ToDispatcher, ToListWatcher,
+    Answer, BackendHandle, BackendResponse, CancelHandle, ForwardedRequest, PeerDatagram,
+    ToCounter, ToDispatcher, ToListWatcher,
 };
 use crate::peer_admissions::{self, PeerAdmissions};
 
@@ -258,33 +260,6 @@
         }
     }
 
-    fn handle_attempt_ended(&mut self, ended: AttemptEnded) {
-        let (invocation_id, number) = (ended.invocation_id, ended.number);
-        // The outcome of an attempt that timed out was already reported.
-        let Some(attempt) = self.take_attempt(invocation_id, number) else {
-            return self.overdue_ended(ended);
-        };
-        let AttemptEnded {
-            ending,
-            response,
-            report,
-            ..
-        } = ended;
-        let outcome = ending.outcome();
-        let request = self.state.requests.get_mut(&invocation_id);
-        if let (Ending::NotExecuted(proof), Some(request)) = (ending, request) {
-            request.attempts.record_not_executed(number, proof);
-        }
-        match (response, self.state.requests.get_mut(&invocation_id)) {
-            (Some(response), _) if outcome == Outcome::Ok => {
-                self.answer(invocation_id, Answer::Succeeded(response));
-            }
-            (fallback @ Some(_), Some(request)) => request.fallback = fallback,
-            _ => {}
-        }
-        self.attempt_ended(invocation_id, number, &attempt, outcome, report);
-    }
-
     fn counter_total(&mut self, name: String, outcome: Outcome, total: f64, latency: Duration) {
         let calls = &self.metrics.counter_calls;
         calls.with_label_values(&[outcome_name(outcome)]).inc();
@@ -314,43 +289,6 @@
         }
     }
 
-    /// Applies a list of backends: starts actors for new backends and stops those of backends that are gone.
-    fn update_backends(
-        &mut self,
-        BackendListUpdate {
-            form,
-            entries,
-            addresses,
-            names,
-        }: BackendListUpdate,
-    ) {
-        let no_name: Arc<str> = "".into();
-        if matches!(form, ListUpdate::Replace | ListUpdate::Restored) {
-            let listed: BTreeSet<BackendId> =
-                entries.iter().map(|entry| entry.backend_id).collect();
-            self.state
-                .backends
-                .retain(|backend_id, _| listed.contains(backend_id));
-        }
-        for (position, (entry, address)) in entries.iter().zip(addresses).enumerate() {
-            let id = entry.backend_id;
-            if entry.health == Health::Removed {
-                self.state.backends.remove(&id);
-                continue;
-            }
-            let known = self.state.backends.get(&id);
-            if known.is_none_or(|backend| backend.address != address) {
-                let name = names.get(position).unwrap_or(&no_name);
-                let backend = (self.spawn_backend)(address, name);
-                self.state.backends.insert(id, backend);
-            }
-            if let Some(backend) = self.state.backends.get(&id) {
-                backend.closed.set(entry.health != Health::Up);
-            }
-        }
-        self.handle_event(Event::BackendList { form, entries });
-    }
-
     /// Handles the arrival of a body's last byte: sets the client's deadline and starts the latencies and timeouts of the
     /// request's attempts at the present time.
     fn body_complete(&mut self, invocation_id: InvocationId, deadline: Duration) {
@@ -377,98 +315,6 @@
         });
     }
 
-    /// Removes an attempt from those in flight and returns it, if it is one of them.
-    fn take_attempt(
-        &mut self,
-        invocation_id: InvocationId,
-        number: AttemptNumber,
-    ) -> Option<InFlightAttempt> {
-        let attempt = self
-            .state
-            .requests
-            .get_mut(&invocation_id)?
-            .in_flight
-            .get_mut(number.0 as usize)?
-            .take()?;
-        // The timer would wake the gateway needlessly.
-        self.state
-            .timers
-            .remove(&(attempt.until, Timer::AttemptTimeout(invocation_id, number)));
-        Some(attempt)
-    }
-
-    /// Counts an attempt's outcome and returns the event that reports it. The event's `closed` is true if the invocation
-    /// has its final answer.
-    fn outcome_event(
-        &self,
-        invocation_id: InvocationId,
-        number: AttemptNumber,
-        attempt: &InFlightAttempt,
-        outcome: Outcome,
-        report: LoadReport,
-    ) -> Event {
-        self.metrics
-            .deliveries
-            .with_label_values(&[outcome_name(outcome)])
-            .inc();
-        let closed = self
-            .state
-            .requests
-            .get(&invocation_id)
-            .is_none_or(|request| request.answer.is_none());
-        let latency = self.clock.now().saturating_sub(attempt.sent);
-        Event::AttemptEnded {
-            invocation_id,
-            attempt: number,
-            backend_id: attempt.backend_id,
-            outcome,
-            latency,
-            is_finished: closed,
-            metered_use: None,
-            actual_units: None,
-            report,
-        }
-    }
-
-    fn attempt_ended(
-        &mut self,
-        invocation_id: InvocationId,
-        number: AttemptNumber,
-        attempt: &InFlightAttempt,
-        outcome: Outcome,
-        report: LoadReport,
-    ) {
-        self.notify_policy(attempt, outcome);
-        let event = self.outcome_event(invocation_id, number, attempt, outcome, report);
-        self.handle_event(event);
-        self.forget_if_finished(invocation_id);
-    }
-
-    /// Reports the end of an attempt that was sent to the attempt policy.
-    fn notify_policy(&mut self, attempt: &InFlightAttempt, outcome: Outcome) {
-        if let Some(attempt_policy) = &mut self.attempt_policy {
-            let now = self.clock.now();
-            attempt_policy.after_attempt(
-                attempt.backend_id,
-                outcome,
-                now.saturating_sub(attempt.sent),
-                now,
-            );
-        }
-    }
-
-    /// Queues the event for an attempt that an action ended, to be handled after all actions of the current event.
-    fn queue_ended(
-        &mut self,
-        invocation_id: InvocationId,
-        number: AttemptNumber,
-        attempt: &InFlightAttempt,
-        outcome: Outcome,
-    ) {
-        let event = self.outcome_event(invocation_id, number, attempt, outcome, vec![]);
-        self.state.follow_up_events.push_back(event);
-    }
-
     /// Forgets an invocation that is answered and has no attempts in flight.
     fn forget_if_finished(&mut self, invocation_id: InvocationId) {
         let over =
@@ -516,17 +362,3 @@
         }
     }
 }
-
-/// Returns an outcome's value of the metrics' label `outcome`.
-fn outcome_name(outcome: Outcome) -> &'static str {
-    match outcome {
-        Outcome::Ok => "ok",
-        Outcome::Failed => "failed",
-        Outcome::Full => "full",
-        Outcome::TimedOut => "timed_out",
-        Outcome::ConnectFailed => "connect_failed",
-        Outcome::Reset => "reset",
-        Outcome::Canceled => "canceled",
-        Outcome::Ignored => "ignored",
-    }
-}
