--- a/crates/ctl/tests/soak/client.rs
+++ b/crates/ctl/tests/soak/client.rs
@@ -22,6 +22,10 @@
 const DEADLINES_MS: [u64; 3] = [600, 1500, 3000];
 /// The share of requests whose client leaves before it has the answer.
 const LEAVING_SHARE: f64 = 0.03;
+/// The share of uploads that are sent in pieces, with pauses between them.
+const SLOW_SHARE: f64 = 0.3;
+const MAX_PIECES: usize = 6;
+const MAX_PAUSE_MS: u64 = 60;
 /// The share of connections that a client closes after an answer.
 const CLOSING_SHARE: f64 = 0.02;
 const UPLOAD_BYTES: std::ops::Range<usize> = 70_000..260_000;
@@ -43,6 +47,8 @@
     kind: RequestKind,
     deadline_ms: u64,
     is_chunked: bool,
+    /// The number of pieces in which the request is sent, with pauses between them.
+    pieces: usize,
     /// The number of bytes after which the client leaves.
     leaves_after: Option<usize>,
 }
@@ -130,11 +136,18 @@
         };
         self.next_request += 1;
         let leaves = self.rng.random::<f64>() < LEAVING_SHARE;
+        let is_slow = kind == RequestKind::Upload && self.rng.random::<f64>() < SLOW_SHARE;
+        let pieces = if is_slow {
+            self.rng.random_range(2..=MAX_PIECES)
+        } else {
+            1
+        };
         Request {
             id: request_id(self.number, self.next_request, body_bytes),
             kind,
             deadline_ms: DEADLINES_MS[self.rng.random_range(0..DEADLINES_MS.len())],
             is_chunked: self.rng.random(),
+            pieces,
             leaves_after: leaves.then(|| self.rng.random_range(1..body_bytes + 400)),
         }
     }
@@ -148,7 +161,17 @@
         self.history.record_sent(&request.id, request.kind);
         let bytes = request.bytes();
         let end = request.leaves_after.unwrap_or(bytes.len()).min(bytes.len());
-        let is_sent = connection.get_mut().write_all(&bytes[..end]).is_ok();
+        let mut is_sent = true;
+        for (number, piece) in bytes[..end]
+            .chunks(end.div_ceil(request.pieces))
+            .enumerate()
+        {
+            if number > 0 {
+                let pause_ms = self.rng.random_range(0..MAX_PAUSE_MS);
+                thread::sleep(Duration::from_millis(pause_ms));
+            }
+            is_sent = is_sent && connection.get_mut().write_all(piece).is_ok();
+        }
         if request.leaves_after.is_some() {
             // Some clients leave while their request is under way, others while the proxy still reads it.
             thread::sleep(Duration::from_millis(self.rng.random_range(0..40)));
