Attempts: an accessor that nothing called goes; who makes a NoneExecuted, as it is

Read over at the end: NoneExecuted::evidence had no caller, and the module's text left out the requests that are rejected before any attempt. No behaviour changes.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -18,8 +18,8 @@
 //! }
 //! ```
 //!
-//! A refusal that promises that a request has not run and never will requires a [`NoneExecuted`], which only the proofs
-//! of all its attempts make.
+//! A refusal that promises that a request has not run and never will requires a [`NoneExecuted`]: made from the proofs of
+//! all its attempts, or for a request that is rejected before any attempt.
 //!
 //! ```compile_fail
 //! use damsonbeam_gateway::attempts::NoneExecuted;
@@ -92,11 +92,6 @@
     pub fn without_attempts() -> Self {
         NoneExecuted(Vec::new())
     }
-
-    /// Returns the evidence for each attempt that was made.
-    pub fn evidence(&self) -> &[Evidence] {
-        &self.0
-    }
 }
 
 impl fmt::Display for NoneExecuted {
