--- a/crates/proxy/tests/data_plane/bodies.rs
+++ b/crates/proxy/tests/data_plane/bodies.rs
@@ -15,7 +15,7 @@
 };
 
 /// The first bytes of an upload, which the proxy reads before it sends the request to a backend.
-const BEGINNING_BYTES: usize = (64 << 10) + 1;
+pub const BEGINNING_BYTES: usize = (64 << 10) + 1;
 const REST_BYTES: usize = 300_000;
 /// Time in which the proxy sends on what it has read.
 const FORWARDING_TIME: Duration = Duration::from_millis(30);
@@ -24,16 +24,16 @@
 
 /// What backends received: the number of requests, and each body that arrived whole.
 #[derive(Default)]
-struct Received {
-    requests: usize,
-    bodies: Vec<Vec<u8>>,
+pub struct Received {
+    pub requests: usize,
+    pub bodies: Vec<Vec<u8>>,
 }
 
 /// Notified when the first request was turned away before its body was in; `None` if it is not turned away.
-type EarlyRefusal = Option<Rc<Notify>>;
+pub type EarlyRefusal = Option<Rc<Notify>>;
 
 /// Starts a backend. With an early refusal, the first request of all backends is turned away and read on.
-async fn start_backend(received: &Rc<RefCell<Received>>, early: &EarlyRefusal) -> SocketAddr {
+pub async fn start_backend(received: &Rc<RefCell<Received>>, early: &EarlyRefusal) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (received, early) = (received.clone(), early.clone());
@@ -77,7 +77,7 @@
     }
 }
 
-async fn read_head(socket: &mut BufReader<TcpStream>) -> Option<String> {
+pub async fn read_head(socket: &mut BufReader<TcpStream>) -> Option<String> {
     let mut head = String::new();
     while !head.ends_with("\r\n\r\n") {
         if socket.read_line(&mut head).await.ok()? == 0 {
@@ -88,7 +88,7 @@
 }
 
 /// Reads a body; returns `None` where the connection ends before the body does.
-async fn read_body(socket: &mut BufReader<TcpStream>, head: &str) -> Option<Vec<u8>> {
+pub async fn read_body(socket: &mut BufReader<TcpStream>, head: &str) -> Option<Vec<u8>> {
     let mut body = Vec::new();
     if let Some(length) = header(head, "content-length") {
         body.resize(length.parse().ok()?, 0);
@@ -99,31 +99,44 @@
         let mut size = String::new();
         socket.read_line(&mut size).await.ok()?;
         let size = usize::from_str_radix(size.trim(), 16).ok()?;
+        if size == 0 {
+            return read_trailers(socket).await.map(|()| body);
+        }
         let end = body.len() + size;
         body.resize(end + 2, 0);
         socket.read_exact(&mut body[end - size..]).await.ok()?;
         body.truncate(end);
-        if size == 0 {
-            return Some(body);
+    }
+}
+
+/// Reads the trailers after the last chunk, up to the empty line; returns `None` where the connection ends before.
+async fn read_trailers(socket: &mut BufReader<TcpStream>) -> Option<()> {
+    loop {
+        let mut line = String::new();
+        if socket.read_line(&mut line).await.ok()? == 0 {
+            return None;
+        }
+        if line == "\r\n" {
+            return Some(());
         }
     }
 }
 
 /// How a client states where its body ends.
 #[derive(Clone, Copy, Debug)]
-enum Framing {
+pub enum Framing {
     Chunked,
     Length,
 }
 
-fn test_body() -> Vec<u8> {
+pub fn test_body() -> Vec<u8> {
     (0..BEGINNING_BYTES + REST_BYTES)
         .map(|n| (n / 7) as u8)
         .collect()
 }
 
 /// Sends the head and the beginning of an upload.
-async fn begin_upload(proxy: &Proxy, framing: Framing) -> TcpStream {
+pub async fn begin_upload(proxy: &Proxy, framing: Framing) -> TcpStream {
     let body = test_body();
     let stated = match framing {
         Framing::Chunked => "Transfer-Encoding: chunked".to_owned(),
@@ -139,7 +152,7 @@
     socket
 }
 
-async fn send_piece(socket: &mut TcpStream, framing: Framing, piece: &[u8]) {
+pub async fn send_piece(socket: &mut TcpStream, framing: Framing, piece: &[u8]) {
     if matches!(framing, Framing::Length) {
         return socket.write_all(piece).await.unwrap();
     }
@@ -150,7 +163,7 @@
 }
 
 /// Sends the rest of an upload in pieces, with pauses in which connections that read the same body would take turns.
-async fn finish_upload(socket: &mut TcpStream, framing: Framing) {
+pub async fn finish_upload(socket: &mut TcpStream, framing: Framing) {
     for piece in test_body()[BEGINNING_BYTES..].chunks(20_000) {
         send_piece(socket, framing, piece).await;
         sleep(Duration::from_millis(3)).await;
--- a/crates/proxy/tests/data_plane/main.rs
+++ b/crates/proxy/tests/data_plane/main.rs
@@ -2,6 +2,7 @@
 //! requests, repeated attempts, and the handling of requests during a shutdown.
 
 mod bodies;
+mod framing;
 mod support;
 
 use std::time::Duration;
--- a/crates/proxy/tests/data_plane/support.rs
+++ b/crates/proxy/tests/data_plane/support.rs
@@ -23,7 +23,7 @@
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 
 /// Time after which a test, or a wait in a test, has failed.
@@ -274,10 +274,19 @@
 
     /// Has all modules refuse the requests that were not sent; returns the sum of their replies.
     pub async fn refuse_unsent(&self) -> Unanswered {
-        let replies = self
-            .dispatchers
-            .borrow()
-            .send_shutdown_message(ToDispatcher::RefuseUnsent);
+        self.send_to_all(ToDispatcher::RefuseUnsent).await
+    }
+
+    /// Has all modules answer every open request; returns the sum of their replies.
+    pub async fn answer_all(&self) -> Unanswered {
+        self.send_to_all(ToDispatcher::AnswerAll).await
+    }
+
+    async fn send_to_all(
+        &self,
+        message: fn(oneshot::Sender<Unanswered>) -> ToDispatcher,
+    ) -> Unanswered {
+        let replies = self.dispatchers.borrow().send_shutdown_message(message);
         let mut total = Unanswered::default();
         for reply in replies {
             let unanswered = reply.await.unwrap();
