Proxy: a backend's 101 does not reach the client

Clients got a 101 with the backend's headers as the final answer to an ordinary request, after which the next bytes are of another protocol.

Cause: may_forward passed on every failure that bears the request's id, but for the four promises; 101 is neither a success nor one of those. Other interim answers are read over by hyper and were never affected. Class: an answer that ends nothing read as the end (MIXED).

An interim status is not passed on; the client gets 502 as for any answer without meaning.

switch_of_protocols_reaches_the_client_as_502 failed before: (101, "").

--- a/crates/proxy/src/protocol.rs
+++ b/crates/proxy/src/protocol.rs
@@ -412,9 +412,11 @@
     fn may_forward(&self, verdict: Verdict, status: StatusCode, headers: &HeaderMap) -> bool {
         match verdict {
             Verdict::Succeeded => true,
-            // An error status that the backend itself sent in answer to this request.
+            // An error status that the backend itself sent in answer to this request. An interim one answers nothing: 101
+            // would make the client take the proxy's next bytes for another protocol.
             Verdict::Failed => {
                 !status.is_success()
+                    && !status.is_informational()
                     && !promises_non_execution(status)
                     && headers.contains_key(&REQUEST_ID)
             }
--- a/crates/proxy/tests/data_plane/framing.rs
+++ b/crates/proxy/tests/data_plane/framing.rs
@@ -108,6 +108,23 @@
     });
 }
 
+/// Guards against MIXED: a backend that switches protocols unasked gives its client no connection to itself.
+#[test]
+fn switch_of_protocols_reaches_the_client_as_502() {
+    run_test(async {
+        let backend = start_backend(|_, id| {
+            let switch = format!(
+                "HTTP/1.1 101 Switching Protocols\r\nX-Request-Id: {id}\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\nbytes"
+            );
+            vec![Step::Send(switch), Step::Hold]
+        });
+        let backend = backend.await;
+        let proxy = start_proxy(&[&backend], 0.0).await;
+        let answered = proxy.send_and_read("/fields/", "one").await;
+        assert_eq!(answered, (502, String::new()));
+    });
+}
+
 /// Guards against UNASKED: a client that closes only its sending side in the middle of an upload has broken it off.
 #[test]
 fn upload_whose_client_closes_its_sending_side_reaches_no_backend_as_whole() {
