Gateway: a broken answer ends its client's connection with a reset

A client of HTTP/1.0 got the beginning of an answer whose backend had reset its connection, followed by an orderly end, and had to take it for the whole answer.

Cause: to such a client an answer without a length is ended by its connection, and the gateway ended that in order also when the answer had broken off. In HTTP/1.1 chunks or a length show the break. Class: an end of our own making that looks like the backend's (MIXED), on the client's side.

A connection is reset when the body of its answer broke off, and when its client exceeds a timeout or is closed while an answer is written. A process that is killed still ends such connections in order.

broken_answer_to_a_client_of_http_1_0_does_not_end_as_a_whole_one failed before.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -317,7 +317,7 @@
         let mut is_closing = false;
         let done = poll_fn(|cx| {
             if let Poll::Ready(done) = serving.as_mut().poll(cx) {
-                return Poll::Ready(done);
+                return Poll::Ready(Some(done));
             }
             if !is_closing && close.as_mut().poll(cx).is_ready() {
                 is_closing = true;
@@ -338,15 +338,19 @@
             // connection open for ever.
             let timed_out = deadline.is_some() && timer.as_mut().poll(cx).is_ready();
             if timed_out || connection.close_now.get() {
-                Poll::Ready(Ok(()))
+                Poll::Ready(None)
             } else {
                 Poll::Pending
             }
         });
-        if let Err(e) = done.await
-            && e.is_parse()
-        {
-            log!(warn, "client-malformed", "{e}");
+        match done.await {
+            // The body of the answer broke off.
+            Some(Err(e)) if e.is_user() => connection.reset_on_close(),
+            Some(Err(e)) if e.is_parse() => log!(warn, "client-malformed", "{e}"),
+            None if connection.state.get() == ConnectionState::WritingResponse => {
+                connection.reset_on_close();
+            }
+            _ => {}
         }
     }
 
--- a/crates/gateway/src/clients/connection.rs
+++ b/crates/gateway/src/clients/connection.rs
@@ -83,6 +83,15 @@
         )
     }
 
+    /// Makes the connection end with a reset: a client of HTTP/1.0 may know the end of its answer by the end of the
+    /// connection alone, and would take a broken answer for a whole one.
+    pub(super) fn reset_on_close(&self) {
+        let socket = self.socket.borrow();
+        SockRef::from(&*socket)
+            .set_linger(Some(Duration::ZERO))
+            .ok();
+    }
+
     /// Returns when the timeout of the current state expires, if it has one.
     pub(super) fn deadline(&self) -> Option<Duration> {
         match self.state.get() {
--- a/crates/proxy/tests/data_plane/framing.rs
+++ b/crates/proxy/tests/data_plane/framing.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use damsonbeam_gateway::phase::Phase;
-use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
@@ -14,7 +14,7 @@
     self, Framing, Received, begin_upload, finish_upload, read_body, send_piece, test_body,
 };
 use crate::support::{
-    Proxy, Step, answer, read_answer, run_test, start_backend, start_proxy,
+    Proxy, Step, answer, header, read_answer, run_test, start_backend, start_proxy,
     start_proxy_with_addresses, wait_until,
 };
 
@@ -46,6 +46,15 @@
     Some((head, body))
 }
 
+/// Reads everything up to the end of the connection; fails if the connection is reset.
+async fn read_to_end(mut socket: TcpStream) -> std::io::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    timeout(ANSWER_TIMEOUT, socket.read_to_end(&mut bytes))
+        .await
+        .expect("the connection ends in time")?;
+    Ok(bytes)
+}
+
 /// Starts two backends that keep what they receive, and a proxy before them.
 async fn start_upload_proxy() -> (Rc<RefCell<Received>>, Proxy) {
     let received = Rc::<RefCell<Received>>::default();
@@ -125,6 +134,29 @@
     });
 }
 
+/// Guards against MIXED: to a client that knows an answer's end by its connection's, a broken answer is a reset.
+#[test]
+fn broken_answer_to_a_client_of_http_1_0_does_not_end_as_a_whole_one() {
+    run_test(async {
+        let piece = "b".repeat(LONG_ANSWER_BYTES);
+        let backend = start_backend(move |_, id| {
+            let start = sealed_head(id, "") + &piece;
+            vec![Step::Send(start), Step::Wait(200), Step::Reset]
+        });
+        let backend = backend.await;
+        let proxy = start_proxy(&[&backend], 0.0).await;
+        let mut client = TcpStream::connect(proxy.address).await.unwrap();
+        let request = "GET /read/ HTTP/1.0\r\nHost: a.example\r\nX-Request-Id: one\r\nX-Deadline-Ms: 2500\r\n\r\n";
+        client.write_all(request.as_bytes()).await.unwrap();
+        let read = read_to_end(client).await;
+        let is_whole = read.as_ref().is_ok_and(|bytes| {
+            let text = String::from_utf8_lossy(bytes);
+            text.split(' ').nth(1) == Some("200") && header(&text, "content-length").is_none()
+        });
+        assert!(!is_whole, "the client took a broken answer for a whole one");
+    });
+}
+
 /// Guards against UNASKED: a client that closes only its sending side in the middle of an upload has broken it off.
 #[test]
 fn upload_whose_client_closes_its_sending_side_reaches_no_backend_as_whole() {
