Gateway: a connection carries no second try under the same id

A client that tried again under the id of a refused request had its new request run twice: on a connection that had carried the first try, the late second copy of that refusal was taken for the answer, and the request was sent once more.

Cause: answers are told apart by their id alone. The attempts of one request avoided each other's connections; a second request under the same id did not. Found by looking on related paths; no case was reported.

A connection keeps the names (hashed) of the last 64 requests that it carried and carries none of them again. That covers the attempts of one request as well, so the list of connections that each request kept goes.

second_copy_of_a_refusal_does_not_refuse_the_next_try_under_the_same_id failed before: connections 0, 1, 0, 2 where 0, 1, 2 are due.

--- a/crates/gateway/src/backends/connection.rs
+++ b/crates/gateway/src/backends/connection.rs
@@ -1,6 +1,8 @@
 //! A connection to a backend. It carries one attempt at a time and tracks how much of the request was written.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::hash::Hasher;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -9,6 +11,7 @@
 use std::task::{Context, Poll, ready};
 
 use damsonbeam_admin::IntCounter;
+use fnv::FnvHasher;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -23,6 +26,10 @@
 use crate::sizes::MAX_HEAD;
 use crate::write_meter::WriteMeter;
 
+/// Number of requests for which a connection keeps the names. A late answer that more of them have overtaken would have
+/// been read as the answer to one of these, which closes the connection.
+const MAX_CARRIED_REQUESTS: usize = 64;
+
 /// The socket that hyper reads and writes. Attempts hold weak references only, so the socket closes as soon as
 /// hyper drops it.
 struct MeteredSocket {
@@ -89,6 +96,30 @@
     pub(super) send: SendRequest<Upload>,
     pub(super) socket: Weak<Socket>,
     pub(super) meter: Rc<WriteMeter>,
+    carried: RefCell<CarriedRequests>,
+}
+
+/// The hashes of the names of the requests that a connection carried most recently, oldest first.
+#[derive(Default)]
+struct CarriedRequests(VecDeque<u64>);
+
+impl CarriedRequests {
+    fn record(&mut self, name: &str) {
+        if self.0.len() == MAX_CARRIED_REQUESTS {
+            self.0.pop_front();
+        }
+        self.0.push_back(hash_of(name));
+    }
+
+    fn contains(&self, name: &str) -> bool {
+        self.0.contains(&hash_of(name))
+    }
+}
+
+fn hash_of(name: &str) -> u64 {
+    let mut hasher = FnvHasher::default();
+    hasher.write(name.as_bytes());
+    hasher.finish()
 }
 
 impl BackendConnection {
@@ -98,7 +129,13 @@
         let length = request.body.length();
         let body_bytes = length.map_or(usize::MAX, |length| length as usize);
         self.meter.start_request(body_bytes);
-        request.connections.record(self.id);
+        self.carried.borrow_mut().record(&request.name);
+    }
+
+    /// Returns whether the connection recently carried a request with this name. It must not carry another: a late answer
+    /// to the first could not be told from the answer to the second.
+    pub(super) fn has_carried(&self, name: &str) -> bool {
+        self.carried.borrow().contains(name)
     }
 
     /// Returns whether the connection can carry another attempt: it is open and has no unread input.
@@ -158,5 +195,6 @@
         send,
         socket: Rc::downgrade(&socket),
         meter,
+        carried: RefCell::default(),
     })
 }
--- a/crates/gateway/src/backends/mod.rs
+++ b/crates/gateway/src/backends/mod.rs
@@ -22,7 +22,7 @@
 pub use self::protocol::{
     BackendProtocol, CORRELATION_ID, PlatformBackends, TIME_LEFT, keep_end_to_end,
 };
-use crate::messages::{BackendHandle, ToBackend, UsedConnections};
+use crate::messages::{BackendHandle, ToBackend};
 
 /// Capacity of a backend's mailbox, larger than the number of attempts that a backend has at any time.
 const MAILBOX_CAPACITY: usize = 256;
@@ -82,7 +82,7 @@
                 }
                 message = self.mailbox.recv(), if mailbox_open => match message {
                     Some(ToBackend::Send(outgoing)) => {
-                        let idle = self.take_idle(&pool, &outgoing.request.connections);
+                        let idle = self.take_idle(&pool, &outgoing.request.name);
                         running.push(run_attempt(self.target(), idle, outgoing));
                     }
                     Some(ToBackend::CloseIdle) => pool.borrow_mut().clear(),
@@ -111,13 +111,13 @@
         }
     }
 
-    /// Takes from the pool the most recently used connection that can carry an attempt of a request, and closes those that
-    /// can carry no attempt any more. `used` are the connections of the request's earlier attempts.
-    fn take_idle(&self, pool: &Pool, used: &UsedConnections) -> Option<BackendConnection> {
+    /// Takes from the pool the most recently used connection that can carry an attempt of the request with this name, and
+    /// closes those that can carry no attempt any more.
+    fn take_idle(&self, pool: &Pool, name: &str) -> Option<BackendConnection> {
         let timeout = self.pools.idle_timeout.get();
         let mut idle = pool.borrow_mut();
         for position in (0..idle.len()).rev() {
-            if used.contains(idle[position].0.id) {
+            if idle[position].0.has_carried(name) {
                 continue;
             }
             let (connection, since) = idle.remove(position);
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -138,7 +138,7 @@
     /// Id of the next connection or invocation.
     next_id: Cell<u64>,
     /// Names of the invocations that are at a dispatcher.
-    open_invocations: RefCell<HashSet<String>>,
+    open_invocations: RefCell<HashSet<Rc<str>>>,
     /// Number of connection tasks that are still running.
     running_tasks: Cell<usize>,
     /// Notified when a connection task has ended.
--- a/crates/gateway/src/clients/invocation.rs
+++ b/crates/gateway/src/clients/invocation.rs
@@ -15,7 +15,7 @@
 use crate::attempts::NoneExecuted;
 use crate::bodies::{self, RequestBody, ResponseBody, StreamEnd, StreamedBody};
 use crate::log::log;
-use crate::messages::{Answer, ForwardedRequest, ToDispatcher, UsedConnections};
+use crate::messages::{Answer, ForwardedRequest, ToDispatcher};
 use crate::shutdown_admission::SHUTDOWN_RETRY_DELAY;
 use crate::sizes::{MAX_BODY, MAX_BUFFERED_BODY};
 
@@ -88,7 +88,7 @@
             decoded.time_left
         };
         decoded.invocation.deadline = received + wait;
-        let name = std::mem::take(&mut decoded.name);
+        let name = Rc::<str>::from(std::mem::take(&mut decoded.name));
         let open_invocation = self.open_invocation(&decoded, name)?;
         connection.has_sent_request.set(true);
         connection.enter(ConnectionState::AwaitingResponse, Duration::ZERO);
@@ -97,7 +97,7 @@
             uri: head.uri,
             headers: std::mem::take(&mut decoded.headers),
             body,
-            connections: UsedConnections::default(),
+            name: open_invocation.name.clone(),
         });
         self.protocol
             .request_accepted(&forwarded, &mut decoded.context);
@@ -117,7 +117,7 @@
     fn open_invocation(
         &self,
         decoded: &DecodedRequest,
-        name: String,
+        name: Rc<str>,
     ) -> Result<OpenInvocation<'_>, Rejection> {
         if !self.open_invocations.borrow_mut().insert(name.clone()) {
             log!(warn, "invocation-twice", "{name}");
@@ -203,7 +203,7 @@
 /// An invocation that is at the dispatcher. If it is dropped without an answer, the client has disconnected.
 struct OpenInvocation<'a> {
     invocation_id: InvocationId,
-    name: String,
+    name: Rc<str>,
     clients: &'a Clients,
     dispatcher: mpsc::Sender<ToDispatcher>,
     answered: Cell<bool>,
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::attempts::{ConnectionId, Ending, NoneExecuted, Repeatable, SendPermit};
+use crate::attempts::{Ending, NoneExecuted, Repeatable, SendPermit};
 use crate::bodies::{RequestBody, ResponseBody};
 
 /// A message to the dispatcher.
@@ -124,25 +124,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: RequestBody,
-    /// The connections that carried an attempt of this request.
-    pub connections: UsedConnections,
-}
-
-/// The connections that carried an attempt of one request. Another attempt goes to another connection: all attempts have
-/// the same id, so a late answer to the first could not be told from the answer to the second.
-#[derive(Default)]
-pub struct UsedConnections(RefCell<Vec<ConnectionId>>);
-
-impl UsedConnections {
-    /// Records that a connection carries an attempt of the request.
-    pub fn record(&self, connection: ConnectionId) {
-        self.0.borrow_mut().push(connection);
-    }
-
-    /// Returns whether a connection carried an attempt of the request.
-    pub fn contains(&self, connection: ConnectionId) -> bool {
-        self.0.borrow().contains(&connection)
-    }
+    /// The client's name for the request, which its answers bear.
+    pub name: Rc<str>,
 }
 
 /// A backend's response as it is sent to the client.
--- a/crates/proxy/tests/data_plane/main.rs
+++ b/crates/proxy/tests/data_plane/main.rs
@@ -365,6 +365,31 @@
     });
 }
 
+/// Guards against REFUSED and TWICE: a second copy of a refusal is not the answer to the client's next try under the same
+/// id, on a connection that carried the first.
+#[test]
+fn second_copy_of_a_refusal_does_not_refuse_the_next_try_under_the_same_id() {
+    let refusal = |id: &str, closes: &str| {
+        Step::Send(format!(
+            "HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n{closes}\r\n"
+        ))
+    };
+    run_test(async move {
+        let script = move |nth, id: &str| match nth {
+            0 => vec![refusal(id, ""), Step::Wait(100), refusal(id, "")],
+            1 => vec![refusal(id, "Connection: close\r\n")],
+            _ => vec![Step::Wait(50), answer(id, "mine")],
+        };
+        let full = start_backend(script).await;
+        let proxy = start_proxy(&[&full], 2.0).await;
+        assert_eq!(proxy.send_and_read("/fields/", "one").await.0, 503);
+        let second_try = proxy.send_and_read("/fields/", "one").await;
+        assert_eq!(second_try, (200, "mine".into()));
+        let connections: Vec<usize> = full.arrivals.borrow().iter().map(|a| a.1).collect();
+        assert_eq!(connections, [0, 1, 2]);
+    });
+}
+
 /// Guards against REFUSED: a backend that ran a request and fails with 408, 429 or 503 gives no promise.
 #[test]
 fn promise_status_of_a_backend_without_proof_reaches_the_client_as_502() {
