System tests, soak: the programs of the present source are played, always

A soak run alone after a change of the gateway played the proxy that the last whole build had left: program_path built a program only where its file was missing.

--- a/crates/ctl/tests/soak/main.rs
+++ b/crates/ctl/tests/soak/main.rs
@@ -7,6 +7,8 @@
 #[path = "../system/cluster.rs"]
 mod cluster;
 mod history;
+#[path = "../system/programs.rs"]
+mod programs;
 mod schedule;
 
 use std::sync::Arc;
--- a/crates/ctl/tests/system/cluster.rs
+++ b/crates/ctl/tests/system/cluster.rs
@@ -15,6 +15,8 @@
 
 use damsonbeam_lab::http::{HttpMessage, response_text};
 
+use crate::programs::program_path;
+
 /// Limit for each condition that a test waits for.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -30,22 +32,6 @@
     "revocation_global=false",
 ];
 
-/// Returns the path of a program next to `damsonbeam-ctl`; builds the program if `cargo test` was run for this test
-/// alone.
-fn program_path(name: &str) -> PathBuf {
-    let path = PathBuf::from(env!("CARGO_BIN_EXE_damsonbeam-ctl")).with_file_name(name);
-    if !path.exists() {
-        let made = Command::new(env!("CARGO"))
-            .args(["build", "--locked", "-p", name])
-            .status();
-        assert!(
-            made.is_ok_and(|s| s.success()) && path.exists(),
-            "{name} can't be built"
-        );
-    }
-    path
-}
-
 /// Sends a request on a new connection; returns an empty message if no complete response arrives.
 pub fn send_request(address: SocketAddr, text: &str) -> HttpMessage {
     let Ok(socket) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else {
--- a/crates/ctl/tests/system/main.rs
+++ b/crates/ctl/tests/system/main.rs
@@ -9,6 +9,7 @@
 mod minority;
 mod operator;
 mod orders;
+mod programs;
 mod replacement;
 mod stalled;
 
