--- a/crates/ctl/tests/soak/backend.rs
+++ b/crates/ctl/tests/soak/backend.rs
@@ -1,8 +1,8 @@
 //! Stand-in backends that follow the wire protocol of the system and, in spells of trouble, its permitted faults.
 
 use std::collections::HashMap;
-use std::io::{BufReader, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::io::BufReader;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
@@ -12,9 +12,10 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use socket2::SockRef;
 
+use crate::connection::{Connection, reset_on_close};
 use crate::history::{History, answer_body};
+use crate::link::Link;
 
 /// Requests that wait at a backend beyond those that it works on.
 const QUEUE_LENGTH: usize = 2;
@@ -87,15 +88,6 @@
     }
 }
 
-/// The sending side of a connection; `None` once the connection has ended, so that no copy of an answer follows its end.
-type Writer = Arc<Mutex<Option<TcpStream>>>;
-
-/// Sends text as one piece; returns `None` if the connection has ended.
-fn write(writer: &Writer, text: &str) -> Option<()> {
-    let mut socket = writer.lock().expect("not poisoned");
-    socket.as_mut()?.write_all(text.as_bytes()).ok()
-}
-
 /// The identity of a backend, which changes with each start.
 #[derive(Clone)]
 pub struct Life {
@@ -107,7 +99,9 @@
 pub struct StandIn {
     pub service: &'static str,
     pub zone: &'static str,
+    /// The address at which the platform lists the backend: its link's, if it has one.
     pub address: SocketAddr,
+    link: Option<Arc<Link>>,
     name: String,
     slots: usize,
     work: Duration,
@@ -121,8 +115,8 @@
     /// Requests that are worked on.
     working: Mutex<usize>,
     slot_freed: Condvar,
-    /// Copies of the open connections' sockets, by the number of the connection.
-    connections: Mutex<HashMap<usize, TcpStream>>,
+    /// The open connections by their numbers.
+    connections: Mutex<HashMap<usize, Connection>>,
     history: Arc<History>,
 }
 
@@ -134,16 +128,21 @@
     pub slots: usize,
     pub work: Duration,
     pub resets_when_full: bool,
+    /// Whether a link that can delay what passes is before the backend.
+    pub has_link: bool,
     pub seed: u64,
 }
 
 impl StandIn {
     pub fn start(plan: StandInPlan, history: &Arc<History>) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let own_address = listener.local_addr().expect("bound");
+        let link = plan.has_link.then(|| Link::start(own_address));
         let backend = Arc::new(StandIn {
             service: plan.service,
             zone: plan.zone,
-            address: listener.local_addr().expect("bound"),
+            address: link.as_ref().map_or(own_address, |link| link.address),
+            link,
             slots: plan.slots,
             work: plan.work,
             resets_when_full: plan.resets_when_full,
@@ -165,14 +164,16 @@
         thread::spawn(move || {
             for (number, socket) in listener.incoming().map_while(Result::ok).enumerate() {
                 if !accepting.life().is_up {
-                    reset(&socket);
+                    reset_on_close(&socket);
                     continue;
                 }
-                let copy = socket.try_clone().expect("cloned");
-                accepting.open_connections().insert(number, copy);
+                let connection = Connection::new(socket.try_clone().expect("cloned"));
+                accepting
+                    .open_connections()
+                    .insert(number, connection.clone());
                 let backend = accepting.clone();
                 thread::spawn(move || {
-                    backend.serve(socket);
+                    backend.serve(socket, &connection);
                     backend.open_connections().remove(&number);
                 });
             }
@@ -188,15 +189,22 @@
         *self.faults.lock().expect("not poisoned") = faults;
     }
 
-    /// Ends the backend: its connections break off, and new ones are reset.
+    /// Ends the backend as a lost machine does: its connections and new ones are reset.
     pub fn crash(&self) {
         self.life.lock().expect("not poisoned").is_up = false;
         for (_, connection) in self.open_connections().drain() {
-            connection.shutdown(Shutdown::Both).ok();
+            connection.reset();
+        }
+    }
+
+    /// Delays what passes between the proxies and this backend, if it has a link.
+    pub fn set_link_delay(&self, delay: Duration) {
+        if let Some(link) = &self.link {
+            link.set_delay(delay);
         }
     }
 
-    fn open_connections(&self) -> MutexGuard<'_, HashMap<usize, TcpStream>> {
+    fn open_connections(&self) -> MutexGuard<'_, HashMap<usize, Connection>> {
         self.connections.lock().expect("not poisoned")
     }
 
@@ -219,15 +227,14 @@
             .random_range(0..limit.max(1))
     }
 
-    fn serve(&self, socket: TcpStream) {
-        let mut reader = BufReader::new(socket.try_clone().expect("cloned"));
-        let writer: Writer = Arc::new(Mutex::new(Some(socket)));
+    fn serve(&self, socket: TcpStream, connection: &Connection) {
+        let mut reader = BufReader::new(socket);
         while let Some(head) = HttpMessage::read_head(&mut reader) {
-            if self.handle(head, &mut reader, &writer).is_none() {
+            if self.handle(head, &mut reader, connection).is_none() {
                 break;
             }
         }
-        *writer.lock().expect("not poisoned") = None;
+        connection.end();
     }
 
     /// Handles one request; returns `None` where the connection ends with it.
@@ -235,7 +242,7 @@
         &self,
         mut request: HttpMessage,
         reader: &mut BufReader<TcpStream>,
-        writer: &Writer,
+        connection: &Connection,
     ) -> Option<()> {
         let faults = self.faults.lock().expect("not poisoned").clone();
         let id = request
@@ -244,16 +251,20 @@
             .to_owned();
         let is_long = request.start_line.contains("/upload/");
         if is_long && self.chance(faults.share(FaultKind::Early)) {
-            return self.answer_early(&id, request, reader, writer);
+            return self.answer_early(&id, request, reader, connection);
         }
         request.read_body(reader)?;
         let life = self.life();
         if request.header("x-target-instance") != Some(&*life.id) {
-            return self.send(writer, &refusal("421 Misdirected Request", &id), &faults);
+            return self.send(
+                connection,
+                &refusal("421 Misdirected Request", &id),
+                &faults,
+            );
         }
         let fault = faults.draw(&mut self.rng.lock().expect("not poisoned"));
         if fault == Some(FaultKind::Reset) {
-            reset(reader.get_ref());
+            reset_on_close(reader.get_ref());
             return None;
         }
         let deadline_ms = request
@@ -262,24 +273,24 @@
         let until = Instant::now() + Duration::from_millis(deadline_ms.unwrap_or(60_000));
         if !self.take_place() {
             if self.resets_when_full {
-                reset(reader.get_ref());
+                reset_on_close(reader.get_ref());
                 return None;
             }
-            return self.send(writer, &refusal("503 Full", &id), &faults);
+            return self.send(connection, &refusal("503 Full", &id), &faults);
         }
         let is_in_time = self.wait_for_slot(until);
         if !is_in_time {
             self.taken.fetch_sub(1, Ordering::SeqCst);
-            return self.send(writer, &refusal("503 Late", &id), &faults);
+            return self.send(connection, &refusal("503 Late", &id), &faults);
         }
         self.history.record_run(&id, &life.id, &request.body);
         thread::sleep(self.work);
         self.free_slot();
         self.taken.fetch_sub(1, Ordering::SeqCst);
         if Instant::now() >= until {
-            return self.send(writer, &failure("504 Late", &id), &faults);
+            return self.send(connection, &failure("504 Late", &id), &faults);
         }
-        self.answer(fault, &id, reader, writer, &faults)
+        self.answer(fault, &id, reader, connection, &faults)
     }
 
     /// Turns a long upload away before it is in, then reads it to its end.
@@ -288,10 +299,10 @@
         id: &str,
         mut request: HttpMessage,
         reader: &mut BufReader<TcpStream>,
-        writer: &Writer,
+        connection: &Connection,
     ) -> Option<()> {
         thread::sleep(Duration::from_millis(self.below(MAX_EARLY_DELAY_MS)));
-        write(writer, &refusal("503 Too Much", id))?;
+        connection.send(&refusal("503 Too Much", id))?;
         thread::sleep(Duration::from_millis(self.below(MAX_EARLY_DELAY_MS)));
         request.read_body(reader)?;
         self.history.record_late_body(id, &self.name, &request.body);
@@ -303,7 +314,7 @@
         fault: Option<FaultKind>,
         id: &str,
         reader: &BufReader<TcpStream>,
-        writer: &Writer,
+        connection: &Connection,
         faults: &Faults,
     ) -> Option<()> {
         let body = answer_body(id);
@@ -313,37 +324,34 @@
         );
         match fault {
             None | Some(FaultKind::SecondCopy | FaultKind::Early) => {
-                self.send(writer, &whole, faults)
+                self.send(connection, &whole, faults)
             }
-            Some(FaultKind::Failed) => self.send(writer, &failure("500 Failed", id), faults),
+            Some(FaultKind::Failed) => self.send(connection, &failure("500 Failed", id), faults),
             Some(FaultKind::OwnPromise) => {
                 let statuses = ["503 Busy", "429 Slow Down", "408 Timeout"];
                 let status = statuses[self.below(3) as usize];
-                self.send(writer, &failure(status, id), faults)
+                self.send(connection, &failure(status, id), faults)
             }
             Some(FaultKind::Cut) => {
                 let end = self.below(whole.len() as u64) as usize;
-                write(writer, &whole[..end])?;
+                connection.end_with(&whole[..end])?;
                 None
             }
             Some(FaultKind::Garbage) => {
-                write(writer, "\x00\x17no answer\r\n\r\n")?;
+                connection.end_with("\x00\x17no answer\r\n\r\n")?;
                 None
             }
             Some(FaultKind::Unframed) => {
                 let head =
                     format!("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nX-Request-Id: {id}\r\n\r\n");
-                let mut socket = writer.lock().expect("not poisoned");
-                let socket = socket.as_mut()?;
-                socket.write_all(head.as_bytes()).ok()?;
-                // No copy of another answer may come between head and body.
+                connection.begin(&head)?;
                 thread::sleep(Duration::from_millis(self.below(MAX_BODY_DELAY_MS)));
-                socket.write_all(body.as_bytes()).ok()?;
+                connection.end_with(&body)?;
                 None
             }
             Some(FaultKind::Lost | FaultKind::Reset) => {
                 match self.below(3) {
-                    0 => reset(reader.get_ref()),
+                    0 => reset_on_close(reader.get_ref()),
                     1 => thread::sleep(Duration::from_secs(3)),
                     _ => {}
                 }
@@ -353,14 +361,14 @@
     }
 
     /// Sends an answer and, in trouble, sends it again some time later.
-    fn send(&self, writer: &Writer, text: &str, faults: &Faults) -> Option<()> {
-        write(writer, text)?;
+    fn send(&self, connection: &Connection, text: &str, faults: &Faults) -> Option<()> {
+        connection.send(text)?;
         if self.chance(faults.share(FaultKind::SecondCopy)) {
             let delay = Duration::from_millis(self.below(MAX_COPY_DELAY_MS));
-            let (writer, text) = (writer.clone(), text.to_owned());
+            let (connection, text) = (connection.clone(), text.to_owned());
             thread::spawn(move || {
                 thread::sleep(delay);
-                write(&writer, &text);
+                connection.send_copy(&text);
             });
         }
         Some(())
@@ -409,10 +417,3 @@
         "",
     )
 }
-
-/// Makes the socket reset its connection when its last copy is closed.
-fn reset(socket: &TcpStream) {
-    SockRef::from(socket)
-        .set_linger(Some(Duration::ZERO))
-        .expect("set");
-}
--- a/crates/ctl/tests/soak/client.rs
+++ b/crates/ctl/tests/soak/client.rs
@@ -2,7 +2,7 @@
 //! request.
 
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -12,6 +12,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::connection::reset_on_close;
 use crate::history::{History, RequestKind, body_of, request_id};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -21,7 +22,17 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(150);
 const DEADLINES_MS: [u64; 3] = [600, 1500, 3000];
 /// The share of requests whose client leaves before it has the answer.
-const LEAVING_SHARE: f64 = 0.03;
+const LEAVING_SHARE: f64 = 0.05;
+/// The longest time that a client waits before it leaves, once it has sent what it sends.
+const MAX_DEPARTURE_MS: u64 = 40;
+/// The share of clients that leave at a boundary of their request, of those that leave.
+const BOUNDARY_SHARE: f64 = 0.5;
+/// The distance from a boundary at which clients leave, in bytes.
+const BOUNDARY_BYTES: usize = 40;
+/// The length of a request's head, about.
+const HEAD_BYTES: usize = 160;
+/// The bytes of a body after which a proxy begins to send it on.
+const BEGINNING_BYTES: usize = 64 << 10;
 /// The share of uploads that are sent in pieces, with pauses between them.
 const SLOW_SHARE: f64 = 0.3;
 const MAX_PIECES: usize = 6;
@@ -49,8 +60,22 @@
     is_chunked: bool,
     /// The number of pieces in which the request is sent, with pauses between them.
     pieces: usize,
-    /// The number of bytes after which the client leaves.
-    leaves_after: Option<usize>,
+    departure: Option<Departure>,
+}
+
+/// How a client leaves before it has its answer.
+struct Departure {
+    /// The number of bytes of the request that it sends before.
+    after_bytes: usize,
+    kind: DepartureKind,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum DepartureKind {
+    Close,
+    Reset,
+    /// The client closes its sending side only, and goes on reading.
+    CloseSendingSide,
 }
 
 impl Request {
@@ -94,6 +119,25 @@
     }
 }
 
+impl Departure {
+    /// Leaves after a while: while the request is under way, or while the proxy still reads it. Returns the answer if one
+    /// arrives all the same.
+    fn leave(&self, mut connection: BufReader<TcpStream>, wait: Duration) -> Option<HttpMessage> {
+        thread::sleep(wait);
+        match self.kind {
+            DepartureKind::Close => None,
+            DepartureKind::Reset => {
+                reset_on_close(connection.get_ref());
+                None
+            }
+            DepartureKind::CloseSendingSide => {
+                connection.get_ref().shutdown(Shutdown::Write).ok()?;
+                HttpMessage::read(&mut connection)
+            }
+        }
+    }
+}
+
 impl Client {
     pub fn new(number: usize, proxies: &[SocketAddr], seed: u64, history: &Arc<History>) -> Self {
         Client {
@@ -148,7 +192,32 @@
             deadline_ms: DEADLINES_MS[self.rng.random_range(0..DEADLINES_MS.len())],
             is_chunked: self.rng.random(),
             pieces,
-            leaves_after: leaves.then(|| self.rng.random_range(1..body_bytes + 400)),
+            departure: leaves.then(|| self.departure(body_bytes)),
+        }
+    }
+
+    fn departure(&mut self, body_bytes: usize) -> Departure {
+        let kinds = [
+            DepartureKind::Close,
+            DepartureKind::Reset,
+            DepartureKind::CloseSendingSide,
+        ];
+        let request_bytes = body_bytes + HEAD_BYTES;
+        let boundaries = [
+            HEAD_BYTES,
+            HEAD_BYTES + BEGINNING_BYTES.min(body_bytes),
+            request_bytes,
+        ];
+        let after_bytes = if self.rng.random::<f64>() < BOUNDARY_SHARE {
+            let boundary = boundaries[self.rng.random_range(0..boundaries.len())];
+            let earliest = boundary.saturating_sub(BOUNDARY_BYTES);
+            self.rng.random_range(earliest..=boundary + BOUNDARY_BYTES)
+        } else {
+            self.rng.random_range(1..request_bytes + HEAD_BYTES)
+        };
+        Departure {
+            after_bytes: after_bytes.max(1),
+            kind: kinds[self.rng.random_range(0..kinds.len())],
         }
     }
 
@@ -160,7 +229,8 @@
         connection.get_ref().set_write_timeout(Some(wait)).ok()?;
         self.history.record_sent(&request.id, request.kind);
         let bytes = request.bytes();
-        let end = request.leaves_after.unwrap_or(bytes.len()).min(bytes.len());
+        let leaves_after = request.departure.as_ref().map(|d| d.after_bytes);
+        let end = leaves_after.unwrap_or(bytes.len()).min(bytes.len());
         let mut is_sent = true;
         for (number, piece) in bytes[..end]
             .chunks(end.div_ceil(request.pieces))
@@ -172,10 +242,10 @@
             }
             is_sent = is_sent && connection.get_mut().write_all(piece).is_ok();
         }
-        if request.leaves_after.is_some() {
-            // Some clients leave while their request is under way, others while the proxy still reads it.
-            thread::sleep(Duration::from_millis(self.rng.random_range(0..40)));
-            return None;
+        if let Some(departure) = &request.departure {
+            let wait_ms = self.rng.random_range(0..MAX_DEPARTURE_MS);
+            let connection = self.connection.take()?;
+            return departure.leave(connection, Duration::from_millis(wait_ms));
         }
         let answer = HttpMessage::read(connection)?;
         // A proxy may refuse an upload before it has read it, and close the connection.
--- a/crates/ctl/tests/soak/main.rs
+++ b/crates/ctl/tests/soak/main.rs
@@ -6,7 +6,9 @@
 #[allow(dead_code)]
 #[path = "../system/cluster.rs"]
 mod cluster;
+mod connection;
 mod history;
+mod link;
 #[path = "../system/programs.rs"]
 mod programs;
 mod schedule;
@@ -111,6 +113,7 @@
                     slots: 4,
                     work: Duration::from_millis(30),
                     resets_when_full: number == 2,
+                    has_link: number % 3 == 1,
                     seed: seed * 1000 + backends.len() as u64,
                 };
                 backends.push(StandIn::start(plan, &history));
@@ -197,22 +200,22 @@
     }
 }
 
-/// Plays the seeds one after the other; returns the breaks that `counts` selects, and prints all.
-fn play(seeds: impl Iterator<Item = u64>, scale: Scale, counts: impl Fn(&Break) -> bool) -> usize {
-    let mut counted = 0;
+/// Plays the seeds one after the other; prints the breaks and returns their number.
+fn play(seeds: impl Iterator<Item = u64>, scale: Scale) -> usize {
+    let mut breaks = 0;
     for seed in seeds {
         for found in Soak::start(seed, scale).run(seed, scale) {
             println!("seed {seed}: {found}");
-            counted += usize::from(counts(&found));
+            breaks += 1;
         }
     }
-    counted
+    breaks
 }
 
+/// Guards against REFUSED, TWICE, UNASKED and MIXED under troubles that overlap.
 #[test]
-fn no_request_runs_that_was_refused_with_a_promise() {
-    let is_relevant = |found: &Break| matches!(found, Break::Refused(_) | Break::Twice(_));
-    assert_eq!(play(1..=2, SHORT, is_relevant), 0);
+fn short_soak_breaks_no_rule() {
+    assert_eq!(play(1..=2, SHORT), 0);
 }
 
 /// Returns the number in an environment variable.
@@ -252,5 +255,5 @@
         duration: Duration::from_secs(variable("SOAK_SECONDS", 30)),
     };
     let seeds = variable("SOAK_FIRST", 1)..=variable("SOAK_LAST", 50);
-    assert_eq!(play(seeds, scale, |_| true), 0);
+    assert_eq!(play(seeds, scale), 0);
 }
--- a/crates/ctl/tests/soak/schedule.rs
+++ b/crates/ctl/tests/soak/schedule.rs
@@ -17,6 +17,10 @@
 const MAX_FREEZE_MS: u64 = 2500;
 const MAX_SPELL_MS: u64 = 4000;
 const MAX_OUTAGE_MS: u64 = 2500;
+/// The longest time by which a link delays each piece.
+const MAX_LINK_DELAY_MS: u64 = 60;
+/// The longest time for which a link passes nothing on.
+const MAX_STALL_MS: u64 = 1500;
 /// The largest share of a backend's answers that a fault spoils.
 const MAX_FAULT_SHARE: f64 = 0.08;
 const MAX_FAULTS_AT_ONCE: usize = 3;
@@ -27,6 +31,7 @@
     Restart(usize),
     FaultFree(usize),
     BackendUp(usize),
+    LinkPrompt(usize),
     Undrained,
 }
 
@@ -79,7 +84,7 @@
     }
 
     fn begin(&mut self, soak: &mut Soak) {
-        match self.rng.random_range(0..16) {
+        match self.rng.random_range(0..18) {
             0 | 1 => self.terminate_proxy(soak),
             2 => self.kill(soak, |machine| !machine.is_core),
             3 => self.freeze(soak, |machine| !machine.is_core),
@@ -89,6 +94,8 @@
             7 | 8 => self.change_configuration(soak),
             9 => self.crash_backend(soak),
             10 => self.drain_backend(soak),
+            11 => self.delay_link(soak),
+            12 => self.stall_link(soak),
             _ => self.begin_fault_spell(soak),
         }
     }
@@ -156,6 +163,23 @@
         self.end_after(MAX_OUTAGE_MS, Ending::Undrained);
     }
 
+    fn delay_link(&mut self, soak: &mut Soak) {
+        let delay = self.up_to_ms(MAX_LINK_DELAY_MS);
+        self.slow_link(soak, delay);
+    }
+
+    /// Holds back what passes a link; the pieces that wait are passed on late even if the spell ends before.
+    fn stall_link(&mut self, soak: &mut Soak) {
+        let delay = self.up_to_ms(MAX_STALL_MS);
+        self.slow_link(soak, delay);
+    }
+
+    fn slow_link(&mut self, soak: &mut Soak, delay: Duration) {
+        let index = self.rng.random_range(0..soak.backends.len());
+        soak.backends[index].set_link_delay(delay);
+        self.end_after(MAX_SPELL_MS, Ending::LinkPrompt(index));
+    }
+
     fn begin_fault_spell(&mut self, soak: &mut Soak) {
         let index = self.rng.random_range(0..soak.backends.len());
         let share = self.rng.random_range(0.01..MAX_FAULT_SHARE);
@@ -188,6 +212,7 @@
             soak.backends[index].restart();
             soak.cluster.set_instances(&listed(&soak.backends), &[]);
         }
+        Ending::LinkPrompt(index) => soak.backends[index].set_link_delay(Duration::ZERO),
         Ending::Undrained => soak.cluster.set_instances(&listed(&soak.backends), &[]),
     }
 }
