Lease: candidates that split the votes do not claim in step again

Cause: with 55 ms between regions, two candidates that claim within that time split the votes by region, and both are refused. Each pauses for one lease; a voter that was bound to one of them waits for the grant's end and does not count that candidate as being before it. No clock or draw breaks the rhythm. Epochs that change every 250 ms while the core takes in its voters give the first meeting. Class: equal timers that repeat a collision.

A refused candidate now pauses for up to 0.8 s more, by a hash of its address and the term: no I/O, and the same in each run. Who may grant and hold is as it was.

--- a/crates/control/src/lease/election.rs
+++ b/crates/control/src/lease/election.rs
@@ -1,9 +1,12 @@
 //! The election of the coordinator, from the point of view of one registry. This module does no I/O.
 
+use std::hash::Hasher;
 use std::time::Duration;
 
+use fnv::FnvHasher;
+
 use super::claim::{Claim, Vote};
-use super::{BACKOFF, CANDIDATE_DELAY, EPOCH_CONFIRMATION_VALIDITY, LEASE};
+use super::{BACKOFF, CANDIDATE_DELAY, EPOCH_CONFIRMATION_VALIDITY, LEASE, MAX_SPREAD_PAUSE};
 use crate::address::Ip;
 use crate::messages::{LeaseHolder, LeaseMessage};
 use crate::voters::VoterSet;
@@ -317,10 +320,26 @@
         let is_behind = |claim: &Claim| claim.term < term || (claim.term == term && !holds);
         if self.claim.as_ref().is_some_and(is_behind) {
             // A registry that holds the lease claims again at once, because the other voters are bound to it.
-            self.drop_claim(if holds { now } else { now + LEASE });
+            let pause = if holds {
+                Duration::ZERO
+            } else {
+                LEASE + self.spread_pause()
+            };
+            self.drop_claim(now + pause);
         }
     }
 
+    /// Returns a time below [`MAX_SPREAD_PAUSE`] that differs by registry and term. Candidates that split the votes would
+    /// otherwise claim in step again, and again.
+    fn spread_pause(&self) -> Duration {
+        let mut hasher = FnvHasher::default();
+        hasher.write(&self.own_ip);
+        hasher.write(&self.highest_term.to_le_bytes());
+        // The low bits of such a hash follow the last bytes closely.
+        let spread_ms = (hasher.finish() >> 20) % MAX_SPREAD_PAUSE.as_millis() as u64;
+        Duration::from_millis(spread_ms)
+    }
+
     fn receive_transfer(&mut self, from: Ip, epoch: u64, term: u64, to: Ip, now: Duration) {
         let holder = Some(LeaseHolder { ip: from, term });
         if epoch == self.epoch() && self.last_holder == holder {
--- a/crates/control/src/lease/mod.rs
+++ b/crates/control/src/lease/mod.rs
@@ -57,6 +57,9 @@
 /// Each candidate waits this much longer than the candidate before it in address order, because two simultaneous candidates
 /// would split the votes.
 const CANDIDATE_DELAY: Duration = Duration::from_millis(200);
+/// The largest extra pause of a candidate whose claim met another of the same or a higher term: several times the delay
+/// between regions.
+const MAX_SPREAD_PAUSE: Duration = Duration::from_millis(800);
 /// How long a candidate pauses after its claim failed, so that the grants for it expire and another candidate can claim.
 const BACKOFF: Duration = Duration::from_millis(2500);
 /// A claim that has no majority after this time is given up.
