Proxy: the late answer to one copy is not compared with another request's answer

A trial service that sent an answer twice, late, was reported to give other bodies than the real one: the second copy of an answer on a connection used again was taken for the answer to the next copy of a request.

Cause: copies carry ids of their own, but the id of the answer was not looked at. Class: what an answer proves, used for another attempt; nothing of it reaches clients. Found by looking on related paths.

An answer that bears another id counts as no answer, and its connection is closed. One without an id is compared as before.

late_answer_to_an_earlier_copy_is_not_compared failed before: other_body 1 of 2 compared.

--- a/crates/proxy/src/mirroring.rs
+++ b/crates/proxy/src/mirroring.rs
@@ -330,9 +330,15 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Option<(u16, Option<u64>)> {
+        let id = request.headers().get(&REQUEST_ID).cloned();
         let mut connection = self.connection(address).await?;
         connection.ready().await.ok()?;
         let answer = connection.send_request(request).await.ok()?;
+        let answered_id = answer.headers().get(&REQUEST_ID);
+        if answered_id.is_some() && answered_id != id.as_ref() {
+            // The late answer to an earlier copy; more of them may follow on this connection.
+            return None;
+        }
         let status = answer.status().as_u16();
         // No more of a body is read than is compared, as a body may be endless; the connection is then closed.
         let body = Limited::new(answer.into_body(), MAX_BODY_BYTES)
