--- a/crates/config-store/src/process/store.rs
+++ b/crates/config-store/src/process/store.rs
@@ -218,14 +218,16 @@
             return;
         }
         match command {
-            Command::Evacuate { .. } => self.request_confirmation(source, command),
-            Command::Change(_) | Command::Read => self.submit(source, command, Duration::ZERO),
+            Command::Evacuate { .. } | Command::Change(_) => {
+                self.request_confirmation(source, command);
+            }
+            Command::Read => self.submit(source, command, Duration::ZERO),
         }
     }
 
-    /// Asks the registry whether the caller of an evacuation still waits. An evacuation has no version that would show
-    /// that a newer command has been given. So an evacuation that was queued while this process was stalled, by its
-    /// disk or otherwise, must not be applied.
+    /// Asks the registry whether the caller of a command still waits. A command that was queued while this process or the
+    /// registry was stalled must not be applied: its caller has turned to another machine, where a change may have been
+    /// refused, and a newer evacuation may have been ordered.
     fn request_confirmation(&mut self, source: CommandSource, command: Command) {
         let asked_at = self.now();
         let is_recent =
--- a/crates/ctl/tests/system/stalled.rs
+++ b/crates/ctl/tests/system/stalled.rs
@@ -1,9 +1,12 @@
-//! Operators' calls that wait for a stalled store.
+//! Operators' calls that wait at a stalled machine.
 
 use std::time::{Duration, Instant};
 
-use crate::cluster::{Backend, Cluster, Plan, STORE};
-use crate::operator::{Outcome, evacuate, set_route};
+use crate::cluster::{Backend, Cluster, Plan, REGISTRY, STORE};
+use crate::operator::{
+    Outcome, evacuate, remove_route, send_without_reading_response, set_route, try_change,
+};
+use crate::orders::core_only_plan;
 use crate::{API_KEY_HEADER, TIMING_BOUNDS, get, serves};
 
 /// How long requests are sent to the zone after the store resumes: longer than a call waits in the store.
@@ -58,3 +61,28 @@
         );
     }
 }
+
+/// Guards against CONFIG: a change waits at a stalled machine and is refused at another one. Then what it clashed with is
+/// removed. The resumed machine must not carry the change out, as its caller has left.
+#[test]
+fn change_that_was_refused_elsewhere_is_dropped_by_the_machine_at_which_it_waited() {
+    for stalled_programs in [&[REGISTRY, STORE][..], &[STORE]] {
+        let mut cluster = Cluster::new(core_only_plan(&["a", "b", "c"]), &[]);
+        cluster.start_configured();
+        cluster.wait_until_in_sync();
+        let change = set_route("r-new", "/x/", 2);
+        for program in stalled_programs {
+            cluster.signal_program(1, program, "-STOP");
+        }
+        send_without_reading_response(cluster.control_address(1), &change);
+        let elsewhere = try_change(cluster.control_address(0), &change);
+        assert!(matches!(elsewhere, Outcome::Rejected(_)), "{elsewhere:?}");
+        cluster.change_at(0, &remove_route("r-1", 2));
+        for program in stalled_programs {
+            cluster.signal_program(1, program, "-CONT");
+        }
+        cluster.run_for(OBSERVATION_TIME);
+        let text = cluster.read_at(0);
+        assert!(!text.contains("\"r-new\""), "{stalled_programs:?}: {text}");
+    }
+}
