Gateway, proxy: bodies are bounded by the operators' body_bytes, with a 413 that can be read

Cause: the limit was a constant; body_bytes was not read. A body over it was dropped unread, so that the close of the connection reset it before the client had read its answer; one in chunks ended as an attempt that had not run.

The limit comes from the configuration; 32 MiB holds where it states none. What is over it is read and discarded for as long as after any early answer, and the answer is 413 unless the backend has answered. A body_bytes that is no number is refused, as the other limits are. Bodies are streamed, so memory does not follow the limit.

upload_over_the_limit_is_answered_with_413: without the discarding the client's writes fail, without the answer it gets 503.

--- a/crates/control/src/config/entries.rs
+++ b/crates/control/src/config/entries.rs
@@ -209,9 +209,11 @@
     }
 }
 
-/// Timeouts of client connections.
+/// Limits on what clients may send, and timeouts of their connections.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ConnectionLimits {
+    /// The largest size of a request body, in bytes; `None` if the limits state none.
+    pub body_bytes: Option<u64>,
     /// The time in milliseconds within which the head of a request must be complete.
     pub header_timeout_ms: u64,
     /// The time in milliseconds after which a connection without requests is closed.
@@ -223,7 +225,9 @@
 
     fn try_from(item: &Item) -> Result<Self, InvalidConfig> {
         let fields = FieldReader::new(item)?;
+        let body_bytes = fields.number_or_zero("body_bytes")? as u64;
         Ok(ConnectionLimits {
+            body_bytes: Some(body_bytes).filter(|bytes| *bytes > 0),
             header_timeout_ms: fields.whole_number("header_timeout_ms")?,
             idle_timeout_ms: fields.whole_number("idle_timeout_ms")?,
         })
--- a/crates/gateway/src/bodies/request.rs
+++ b/crates/gateway/src/bodies/request.rs
@@ -55,6 +55,8 @@
     reader: RefCell<Option<BodyReader>>,
     /// Total length in bytes, if the client stated it.
     pub length: Option<u64>,
+    /// Maximum size, in bytes.
+    max_bytes: u64,
     state: Cell<BodyState>,
     /// Bytes received so far, with the beginning.
     received: Cell<u64>,
@@ -63,12 +65,13 @@
 }
 
 impl StreamedBody {
-    /// Creates a body from its beginning and the stream of the rest; `on_complete` is called once the last byte has
-    /// been received.
+    /// Creates a body of at most `max_bytes` from its beginning and the stream of the rest; `on_complete` is called once
+    /// the last byte has been received.
     pub fn new(
         beginning: Bytes,
         rest: Incoming,
         length: Option<u64>,
+        max_bytes: u64,
         on_complete: Box<dyn FnOnce()>,
     ) -> Rc<Self> {
         Rc::new(StreamedBody {
@@ -76,6 +79,7 @@
             beginning,
             reader: RefCell::new(Some(BodyReader(rest))),
             length,
+            max_bytes,
             state: Cell::new(BodyState::Kept),
             on_complete: RefCell::new(Some(on_complete)),
         })
@@ -86,6 +90,11 @@
         self.state.get() == BodyState::Whole
     }
 
+    /// Returns whether the body passed the size limit.
+    pub fn is_too_large(&self) -> bool {
+        self.state.get() == BodyState::BrokenOff(BodyBreak::TooLarge)
+    }
+
     /// Returns whether an attempt could still send the whole body, once no other attempt has it.
     pub fn is_kept(&self) -> bool {
         self.state.get() == BodyState::Kept
@@ -166,7 +175,7 @@
             let data_bytes = frame.data_ref().map_or(0, Bytes::len) as u64;
             let received = self.body.received.get() + data_bytes;
             self.body.received.set(received);
-            if received > MAX_BODY as u64 {
+            if received > self.body.max_bytes {
                 let state = BodyState::BrokenOff(BodyBreak::TooLarge);
                 self.body.state.set(state);
                 return Poll::Ready(Some(Err("the request body is too large".into())));
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -39,7 +39,7 @@
 use crate::messages::{Answer, ForwardedRequest, ToDispatcher};
 use crate::phase::CurrentPhase;
 use crate::shutdown_admission::ShutdownAdmission;
-use crate::sizes::MAX_HEAD;
+use crate::sizes::{MAX_BODY, MAX_HEAD};
 
 /// Pause after a failed accept; retrying at once would not free any file descriptors.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
@@ -130,6 +130,8 @@
     max_connections: Cell<usize>,
     /// Maximum number of connections when no other process of this gateway is running.
     max_connections_alone: usize,
+    /// Maximum size of a request body, in bytes.
+    max_body: Cell<u64>,
     /// Memory limit for buffered parts of request bodies.
     body_memory: MemoryBudget,
     shutdown_admission: ShutdownAdmission,
@@ -164,6 +166,7 @@
             timeouts: Rc::default(),
             max_connections: Cell::new(max_connections),
             max_connections_alone: max_connections,
+            max_body: Cell::new(MAX_BODY as u64),
             body_memory: MemoryBudget::new(body_bytes),
             shutdown_admission: ShutdownAdmission::default(),
             admission: RefCell::new(ConnectionAdmission::new(clock.now())),
@@ -180,6 +183,11 @@
         self.timeouts.set(timeouts);
     }
 
+    /// Sets the maximum size of a request body, in bytes; `None` stands for [`MAX_BODY`].
+    pub fn set_max_body(&self, bytes: Option<u64>) {
+        self.max_body.set(bytes.unwrap_or(MAX_BODY as u64));
+    }
+
     /// Sets the time at which the process ends. Requests that cannot be answered by `end` are rejected immediately.
     pub fn set_shutdown_deadline(&self, end: Duration) {
         self.shutdown_admission.start_shutdown(end);
--- a/crates/gateway/src/clients/invocation.rs
+++ b/crates/gateway/src/clients/invocation.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use damsonbeam::interface::{InvocationId, RejectReason};
 use hyper::body::{Body, Incoming};
 use hyper::{Method, Request, StatusCode};
@@ -17,7 +18,7 @@
 use crate::log::log;
 use crate::messages::{Answer, ForwardedRequest, ToDispatcher};
 use crate::shutdown_admission::SHUTDOWN_RETRY_DELAY;
-use crate::sizes::{MAX_BODY, MAX_BUFFERED_BODY};
+use crate::sizes::MAX_BUFFERED_BODY;
 
 /// Time limit for an invocation whose body is still arriving. The time limit of the client starts only with the last
 /// byte of the body.
@@ -105,11 +106,16 @@
         let answer = open_invocation.dispatch(decoded, forwarded).await?;
         let latency = self.clock.now().saturating_sub(received);
         self.metrics.answer_seconds.observe(latency.as_secs_f64());
+        let is_too_large = streamed.as_ref().is_some_and(|body| body.is_too_large());
         if let Some(streamed) = streamed.filter(|body| !body.is_whole()) {
-            connection.request_body_unread.set(true);
-            tokio::task::spawn_local(async move { streamed.drain().await });
+            self.drain(connection, streamed);
         }
-        Ok(self.protocol.encode(&open_invocation.name, context, answer))
+        let is_answered = matches!(answer, Answer::Succeeded(_));
+        let response = self.protocol.encode(&open_invocation.name, context, answer);
+        if is_too_large && !is_answered {
+            return Err(empty_rejection(StatusCode::PAYLOAD_TOO_LARGE));
+        }
+        Ok(response)
     }
 
     /// Registers an invocation. A second invocation with the name of an open one is rejected: the two would share one
@@ -142,13 +148,17 @@
         decoded: &DecodedRequest,
     ) -> Result<RequestBody, StatusCode> {
         if body.is_end_stream() {
-            return Ok(RequestBody::Buffered(bytes::Bytes::new()));
+            return Ok(RequestBody::Buffered(Bytes::new()));
         }
         if *method == Method::GET {
             return Err(StatusCode::BAD_REQUEST);
         }
         let length = body.size_hint().exact();
-        if length.is_some_and(|length| length > MAX_BODY as u64) {
+        if length.is_some_and(|length| length > self.max_body.get()) {
+            self.drain(
+                connection,
+                self.streamed_body(Bytes::new(), body, length, || {}),
+            );
             return Err(StatusCode::PAYLOAD_TOO_LARGE);
         }
         let buffered = length.map_or(MAX_BUFFERED_BODY, |length| {
@@ -172,11 +182,28 @@
         if is_whole {
             return Ok(RequestBody::Buffered(beginning));
         }
-        let on_complete = Box::new(self.report_completion(decoded));
-        let streamed = StreamedBody::new(beginning, body, length, on_complete);
+        let streamed = self.streamed_body(beginning, body, length, self.report_completion(decoded));
         Ok(RequestBody::Streamed(streamed))
     }
 
+    fn streamed_body(
+        &self,
+        beginning: Bytes,
+        rest: Incoming,
+        length: Option<u64>,
+        on_complete: impl FnOnce() + 'static,
+    ) -> Rc<StreamedBody> {
+        let max_bytes = self.max_body.get();
+        StreamedBody::new(beginning, rest, length, max_bytes, Box::new(on_complete))
+    }
+
+    /// Reads and discards the rest of a body that is not needed, so that the client goes on to read its answer. The
+    /// connection is closed after the answer.
+    fn drain(&self, connection: &ClientConnection, body: Rc<StreamedBody>) {
+        connection.request_body_unread.set(true);
+        tokio::task::spawn_local(async move { body.drain().await });
+    }
+
     /// Returns a callback that reports to the dispatcher that the last byte of the body has arrived.
     fn report_completion(&self, decoded: &DecodedRequest) -> impl FnOnce() + use<> {
         let invocation_id = decoded.invocation.id;
--- a/crates/gateway/src/sizes.rs
+++ b/crates/gateway/src/sizes.rs
@@ -2,7 +2,7 @@
 
 /// Maximum size of a buffered body, in bytes; larger bodies are streamed.
 pub const MAX_BUFFERED_BODY: usize = 64 << 10;
-/// Maximum size of a request or response body, in bytes.
+/// Maximum size of a response body, and of a request body where the operators state no other, in bytes.
 pub const MAX_BODY: usize = 32 << 20;
 /// Maximum size of a request or response head, in bytes.
 pub const MAX_HEAD: usize = 16 << 10;
--- a/crates/gateway/tests/request_body.rs
+++ b/crates/gateway/tests/request_body.rs
@@ -14,7 +14,8 @@
 use tokio::sync::oneshot;
 
 const BEGINNING: &[u8] = b"beginning";
-/// More than the largest body that the gateway accepts.
+const MAX_BYTES: u64 = 32 << 20;
+/// More than the largest body that is accepted.
 const TOO_LARGE_BYTES: usize = 33 << 20;
 const PIECE_BYTES: usize = 1 << 20;
 
@@ -52,7 +53,7 @@
     client.write_all(head).await.expect("written");
     let rest = receiver.await.expect("a body");
     let beginning = Bytes::from_static(BEGINNING);
-    let body = StreamedBody::new(beginning, rest, None, Box::new(|| {}));
+    let body = StreamedBody::new(beginning, rest, None, MAX_BYTES, Box::new(|| {}));
     Received {
         client,
         body: RequestBody::Streamed(body),
--- a/crates/proxy/src/process/proxy.rs
+++ b/crates/proxy/src/process/proxy.rs
@@ -141,8 +141,9 @@
         dispatchers.send_backends();
     }
 
-    /// Sets the timeouts of client connections from the configured limits.
+    /// Sets the timeouts of client connections and the largest size of a body from the configured limits.
     fn apply_limits(&self, limits: &ConnectionLimits) {
+        self.clients.set_max_body(limits.body_bytes);
         let idle = Duration::from_millis(limits.idle_timeout_ms);
         self.advertised_idle_s
             .set(idle.as_secs().saturating_sub(ADVERTISED_IDLE_MARGIN_S));
--- a/crates/proxy/tests/data_plane/bodies.rs
+++ b/crates/proxy/tests/data_plane/bodies.rs
@@ -230,3 +230,24 @@
         assert!(served > 0, "no upload was sent again");
     });
 }
+
+/// Guards against a closed connection in place of an answer: a client that sends more than the limit reads a 413, and no
+/// backend takes the body for whole.
+#[test]
+fn upload_over_the_limit_is_answered_with_413() {
+    run_test(async {
+        for framing in [Framing::Chunked, Framing::Length] {
+            let received = Rc::<RefCell<Received>>::default();
+            let backends = [start_backend(&received, &None).await];
+            let proxy = start_proxy_with_addresses(&backends, 2.0).await;
+            proxy
+                .clients
+                .set_max_body(Some(BEGINNING_BYTES as u64 + 50_000));
+            let mut client = begin_upload(&proxy, framing).await;
+            finish_upload(&mut client, framing).await;
+            let answered = read_answer(&mut client).await;
+            assert_eq!(answered.expect("an answer").0, 413, "{framing:?}");
+            assert_eq!(received.borrow().bodies.len(), 0, "{framing:?}");
+        }
+    });
+}
