Gateway: small bodies in chunks are bounded by body_bytes, too

buffered_body_over_the_limit_is_answered_with_413 failed before: 200 for 5,000 bytes with a limit of 4,999.

--- a/crates/gateway/src/clients/invocation.rs
+++ b/crates/gateway/src/clients/invocation.rs
@@ -179,6 +179,13 @@
             .await
             .map_err(|_| StatusCode::BAD_REQUEST)?;
         let beginning = reservation.keep(beginning);
+        if beginning.len() as u64 > self.max_body.get() {
+            if !is_whole {
+                let rest = self.streamed_body(Bytes::new(), body, length, || {});
+                self.drain(connection, rest);
+            }
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        }
         if is_whole {
             return Ok(RequestBody::Buffered(beginning));
         }
--- a/crates/proxy/tests/data_plane/bodies.rs
+++ b/crates/proxy/tests/data_plane/bodies.rs
@@ -236,18 +236,47 @@
 #[test]
 fn upload_over_the_limit_is_answered_with_413() {
     run_test(async {
-        for framing in [Framing::Chunked, Framing::Length] {
+        let large = BEGINNING_BYTES as u64 + 50_000;
+        for (framing, limit) in [
+            (Framing::Chunked, 1000),
+            (Framing::Chunked, large),
+            (Framing::Length, 1000),
+            (Framing::Length, large),
+        ] {
             let received = Rc::<RefCell<Received>>::default();
             let backends = [start_backend(&received, &None).await];
             let proxy = start_proxy_with_addresses(&backends, 2.0).await;
-            proxy
-                .clients
-                .set_max_body(Some(BEGINNING_BYTES as u64 + 50_000));
+            proxy.clients.set_max_body(Some(limit));
             let mut client = begin_upload(&proxy, framing).await;
             finish_upload(&mut client, framing).await;
             let answered = read_answer(&mut client).await;
-            assert_eq!(answered.expect("an answer").0, 413, "{framing:?}");
-            assert_eq!(received.borrow().bodies.len(), 0, "{framing:?}");
+            let status = answered.expect("an answer").0;
+            assert_eq!(status, 413, "{framing:?}, {limit}");
+            let whole = received.borrow().bodies.len();
+            assert_eq!(whole, 0, "{framing:?}, {limit}");
+        }
+    });
+}
+
+/// Guards against a limit that small bodies in chunks pass by, as they are read whole before they are sent.
+#[test]
+fn buffered_body_over_the_limit_is_answered_with_413() {
+    run_test(async {
+        let received = Rc::<RefCell<Received>>::default();
+        let backends = [start_backend(&received, &None).await];
+        let proxy = start_proxy_with_addresses(&backends, 2.0).await;
+        for (limit, due) in [(4999, 413), (5000, 200)] {
+            proxy.clients.set_max_body(Some(limit));
+            let mut socket = TcpStream::connect(proxy.address).await.unwrap();
+            let head = format!(
+                "POST /fields/ HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {due}\r\nX-Deadline-Ms: 2500\r\nTransfer-Encoding: chunked\r\n\r\n"
+            );
+            socket.write_all(head.as_bytes()).await.unwrap();
+            send_piece(&mut socket, Framing::Chunked, &[b'x'; 5000]).await;
+            socket.write_all(b"0\r\n\r\n").await.unwrap();
+            let answered = read_answer(&mut socket).await;
+            assert_eq!(answered.expect("an answer").0, due);
         }
+        assert_eq!(received.borrow().requests, 1);
     });
 }
