Gateway: the log tells how much of an attempt was written when no answer came

Need: the evidence 'incomplete' said that the last byte was not handed to the operating system, and not whether the head was: a request whose head no backend can have looked like one that a backend may have begun.

Change: WriteMeter tells head, bytes of the body, or whole; the evidence and the line attempt-unanswered carry it.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -31,7 +31,7 @@
 
 use damsonbeam::interface::{AttemptNumber, Outcome, RepeatMode};
 
-use crate::write_meter::WriteMeter;
+use crate::write_meter::{WriteMeter, WriteProgress};
 
 /// Proof that a request may be executed more than once.
 #[derive(Clone, Copy, Debug)]
@@ -61,7 +61,7 @@
     /// No part of the attempt was handed to a connection.
     NotSent,
     /// The last byte of the attempt was never handed to the operating system.
-    Incomplete(ConnectionId),
+    Incomplete(ConnectionId, WriteProgress),
     /// The backend declined the request in its response to it.
     Declined(Refusal, ConnectionId),
 }
@@ -70,8 +70,8 @@
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
             Evidence::NotSent => write!(f, "not sent"),
-            Evidence::Incomplete(connection) => {
-                write!(f, "incomplete on connection {}", connection.0)
+            Evidence::Incomplete(connection, written) => {
+                write!(f, "incomplete on connection {} ({written})", connection.0)
             }
             Evidence::Declined(Refusal::NoCapacity, connection) => {
                 write!(f, "declined on connection {}", connection.0)
@@ -201,9 +201,15 @@
         if self.meter.is_complete() || body_ended {
             Ending::Unknown
         } else {
-            Ending::NotExecuted(NotExecuted(Evidence::Incomplete(self.connection)))
+            let evidence = Evidence::Incomplete(self.connection, self.write_progress());
+            Ending::NotExecuted(NotExecuted(evidence))
         }
     }
+
+    /// Returns how much of the attempt was written.
+    pub fn write_progress(&self) -> WriteProgress {
+        self.meter.progress()
+    }
 }
 
 /// The attempts of one request.
--- a/crates/gateway/src/backends/attempt.rs
+++ b/crates/gateway/src/backends/attempt.rs
@@ -224,8 +224,10 @@
                 if !is_cut {
                     log!(warn, "delivery-broken", "{}: {error}", self.address);
                 }
-                let progress = attempt.upload.progress();
-                attempt.log.no_answer(&error, EndedBy::of(is_cut), progress);
+                let received = attempt.upload.progress();
+                let written = attempt.sent.write_progress();
+                let ended_by = EndedBy::of(is_cut);
+                attempt.log.no_answer(&error, ended_by, received, written);
                 attempt.end_without_response().await;
                 return false;
             }
--- a/crates/gateway/src/backends/attempt_log.rs
+++ b/crates/gateway/src/backends/attempt_log.rs
@@ -10,6 +10,7 @@
 use super::response::{ReceivedResponse, ResponseError};
 use crate::attempts::{ConnectionId, Verdict};
 use crate::bodies::{StreamEnd, UploadProgress};
+use crate::write_meter::WriteProgress;
 
 /// Writes the log lines of one attempt.
 pub(super) struct AttemptLog {
@@ -82,11 +83,17 @@
     }
 
     /// Logs that no usable answer came.
-    pub(super) fn no_answer(&self, error: &ResponseError, ended_by: EndedBy, body: UploadProgress) {
+    pub(super) fn no_answer(
+        &self,
+        error: &ResponseError,
+        ended_by: EndedBy,
+        body: UploadProgress,
+        written: WriteProgress,
+    ) {
         let error = ErrorChain(error);
         tracing::debug!(
             code = "attempt-unanswered",
-            "{self}: no whole answer, {ended_by} ({error}); body {body}."
+            "{self}: no whole answer, {ended_by} ({error}); body {body}; {written}."
         );
     }
 
--- a/crates/proxy/tests/data_plane/bodies.rs
+++ b/crates/proxy/tests/data_plane/bodies.rs
@@ -18,7 +18,7 @@
 pub const BEGINNING_BYTES: usize = (64 << 10) + 1;
 const REST_BYTES: usize = 300_000;
 /// Time in which the proxy sends on what it has read.
-const FORWARDING_TIME: Duration = Duration::from_millis(30);
+pub const FORWARDING_TIME: Duration = Duration::from_millis(30);
 /// How many times a client lets the other tasks run, at most, before it goes on with its upload after a refusal.
 const MAX_YIELDS: usize = 25;
 
--- a/crates/proxy/tests/data_plane/logs.rs
+++ b/crates/proxy/tests/data_plane/logs.rs
@@ -7,7 +7,7 @@
 
 use tokio::time::sleep;
 
-use crate::bodies::{self, Framing, begin_upload};
+use crate::bodies::{self, FORWARDING_TIME, Framing, begin_upload};
 use crate::support::{
     Step, run_test, start_backend, start_proxy, start_proxy_with_addresses, wait_until,
 };
@@ -83,6 +83,25 @@
     });
 }
 
+/// REFUSED: the log tells that a backend had the head of an upload, and could begin, when the connection broke.
+#[test]
+fn log_tells_how_much_of_an_unanswered_upload_was_written() {
+    run_test(async {
+        let backend = start_backend(|_, _| vec![Step::Hold, Step::Reset]).await;
+        let proxy = start_proxy(&[&backend], 0.0).await;
+        let _client = begin_upload(&proxy, Framing::Length).await;
+        wait_until(|| backend.arrivals.borrow().len() == 1).await;
+        sleep(FORWARDING_TIME).await;
+        backend.release.notify_one();
+        let line = attempt_line(1).await;
+        assert!(line.contains("no whole answer"), "{line}");
+        assert!(
+            line.contains("head and 65537 bytes of the body written"),
+            "{line}"
+        );
+    });
+}
+
 /// UNASKED: the log tells that a backend answered before it had the whole upload.
 #[test]
 fn log_tells_an_early_answer_to_an_upload() {
