--- a/crates/ctl/tests/soak/backend.rs
+++ b/crates/ctl/tests/soak/backend.rs
@@ -14,15 +14,19 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::connection::{Connection, reset_on_close};
-use crate::history::{History, answer_body};
+use crate::history::{History, WorkStart, answer_body};
 use crate::link::Link;
 
 /// Requests that wait at a backend beyond those that it works on.
 const QUEUE_LENGTH: usize = 2;
+/// The wait of a sender that states none.
+const MAX_WAIT: Duration = Duration::from_secs(60);
 /// The longest delay of an early answer to a long upload, and of reading the upload after it.
 const MAX_EARLY_DELAY_MS: u64 = 30;
 /// The longest time between the head and the body of an answer without a length.
 const MAX_BODY_DELAY_MS: u64 = 60;
+/// The longest time between the beginning of the work on a request and a reset while the rest of it arrives.
+const MAX_BEGUN_MS: u64 = 100;
 /// The longest delay of a second copy of an answer.
 const MAX_COPY_DELAY_MS: u64 = 100;
 
@@ -35,6 +39,8 @@
     Lost,
     /// The connection is reset before the request runs.
     Reset,
+    /// The request runs, and the connection is reset: while the body arrives, where the backend has begun at the head.
+    BegunReset,
     /// The request runs, and the answer breaks off.
     Cut,
     /// The request runs, and the answer is no HTTP.
@@ -50,10 +56,11 @@
 }
 
 impl FaultKind {
-    pub const ALL: [(&str, FaultKind); 9] = [
+    pub const ALL: [(&str, FaultKind); 10] = [
         ("own-promise", FaultKind::OwnPromise),
         ("lost", FaultKind::Lost),
         ("reset", FaultKind::Reset),
+        ("begun-reset", FaultKind::BegunReset),
         ("cut", FaultKind::Cut),
         ("garbage", FaultKind::Garbage),
         ("unframed", FaultKind::Unframed),
@@ -106,6 +113,7 @@
     slots: usize,
     work: Duration,
     pub resets_when_full: bool,
+    begins_at_head: bool,
     life: Mutex<Life>,
     lives: AtomicUsize,
     faults: Mutex<Faults>,
@@ -128,6 +136,8 @@
     pub slots: usize,
     pub work: Duration,
     pub resets_when_full: bool,
+    /// Whether the backend begins to work on an upload as soon as it has read the head.
+    pub begins_at_head: bool,
     /// Whether a link that can delay what passes is before the backend.
     pub has_link: bool,
     pub seed: u64,
@@ -146,6 +156,7 @@
             slots: plan.slots,
             work: plan.work,
             resets_when_full: plan.resets_when_full,
+            begins_at_head: plan.begins_at_head,
             life: Mutex::new(Life {
                 id: format!("{}-0", plan.name),
                 is_up: true,
@@ -253,57 +264,113 @@
         if is_long && self.chance(faults.share(FaultKind::Early)) {
             return self.answer_early(&id, request, reader, connection);
         }
-        request.read_body(reader)?;
+        let start = if is_long && self.begins_at_head {
+            WorkStart::Head
+        } else {
+            request.read_body(reader)?;
+            WorkStart::WholeRequest
+        };
         let life = self.life();
-        if request.header("x-target-instance") != Some(&*life.id) {
-            return self.send(
-                connection,
-                &refusal("421 Misdirected Request", &id),
-                &faults,
-            );
-        }
         let fault = faults.draw(&mut self.rng.lock().expect("not poisoned"));
-        if fault == Some(FaultKind::Reset) {
-            reset_on_close(reader.get_ref());
-            return None;
-        }
-        let deadline_ms = request
-            .header("x-deadline-ms")
-            .and_then(|value| value.parse().ok());
-        let until = Instant::now() + Duration::from_millis(deadline_ms.unwrap_or(60_000));
-        if !self.take_place() {
-            if self.resets_when_full {
+        let until = deadline(&request);
+        let refused_status = match self.admit(&request, &life, fault, until) {
+            Admission::Admitted => None,
+            Admission::Refused(status) => Some(status),
+            Admission::Reset => {
                 reset_on_close(reader.get_ref());
                 return None;
             }
-            return self.send(connection, &refusal("503 Full", &id), &faults);
+        };
+        if let Some(status) = refused_status {
+            self.send(connection, &refusal(status, &id), &faults)?;
+            return match start {
+                WorkStart::Head => self.read_on(&id, request, reader),
+                WorkStart::WholeRequest => Some(()),
+            };
         }
-        let is_in_time = self.wait_for_slot(until);
-        if !is_in_time {
-            self.taken.fetch_sub(1, Ordering::SeqCst);
-            return self.send(connection, &refusal("503 Late", &id), &faults);
-        }
-        self.history.record_run(&id, &life.id, &request.body);
-        thread::sleep(self.work);
+        self.history.record_run(&id, &life.id, start);
+        let work = self.work_on(&id, &life, start, request, reader, fault);
         self.free_slot();
         self.taken.fetch_sub(1, Ordering::SeqCst);
+        work?;
         if Instant::now() >= until {
             return self.send(connection, &failure("504 Late", &id), &faults);
         }
         self.answer(fault, &id, reader, connection, &faults)
     }
 
+    /// Takes a slot for a request, or says why it does not run.
+    fn admit(
+        &self,
+        request: &HttpMessage,
+        life: &Life,
+        fault: Option<FaultKind>,
+        until: Instant,
+    ) -> Admission {
+        if request.header("x-target-instance") != Some(&*life.id) {
+            return Admission::Refused("421 Misdirected Request");
+        }
+        if fault == Some(FaultKind::Reset) {
+            return Admission::Reset;
+        }
+        if !self.take_place() {
+            return if self.resets_when_full {
+                Admission::Reset
+            } else {
+                Admission::Refused("503 Full")
+            };
+        }
+        if !self.wait_for_slot(until) {
+            self.taken.fetch_sub(1, Ordering::SeqCst);
+            return Admission::Refused("503 Late");
+        }
+        Admission::Admitted
+    }
+
+    /// Works on a request, and reads what is left of it before; returns `None` where the connection ends meanwhile.
+    fn work_on(
+        &self,
+        id: &str,
+        life: &Life,
+        start: WorkStart,
+        mut request: HttpMessage,
+        reader: &mut BufReader<TcpStream>,
+        fault: Option<FaultKind>,
+    ) -> Option<()> {
+        if start == WorkStart::Head {
+            if fault == Some(FaultKind::BegunReset) {
+                thread::sleep(Duration::from_millis(self.below(MAX_BEGUN_MS)));
+                reset_on_close(reader.get_ref());
+                return None;
+            }
+            request.read_body(reader)?;
+        }
+        self.history.record_body(id, &life.id, &request.body);
+        thread::sleep(self.work);
+        Some(())
+    }
+
     /// Turns a long upload away before it is in, then reads it to its end.
     fn answer_early(
         &self,
         id: &str,
-        mut request: HttpMessage,
+        request: HttpMessage,
         reader: &mut BufReader<TcpStream>,
         connection: &Connection,
     ) -> Option<()> {
         thread::sleep(Duration::from_millis(self.below(MAX_EARLY_DELAY_MS)));
         connection.send(&refusal("503 Too Much", id))?;
         thread::sleep(Duration::from_millis(self.below(MAX_EARLY_DELAY_MS)));
+        self.read_on(id, request, reader)
+    }
+
+    /// Reads the body of a request that was refused before it was in.
+    fn read_on(
+        &self,
+        id: &str,
+        mut request: HttpMessage,
+        reader: &mut BufReader<TcpStream>,
+    ) -> Option<()> {
         request.read_body(reader)?;
         self.history.record_late_body(id, &self.name, &request.body);
         Some(())
@@ -349,6 +416,10 @@
                 connection.end_with(&body)?;
                 None
             }
+            Some(FaultKind::BegunReset) => {
+                reset_on_close(reader.get_ref());
+                None
+            }
             Some(FaultKind::Lost | FaultKind::Reset) => {
                 match self.below(3) {
                     0 => reset_on_close(reader.get_ref()),
@@ -402,6 +473,23 @@
     }
 }
 
+/// Whether a backend works on a request.
+enum Admission {
+    Admitted,
+    /// The request is answered with a status that states that it was not executed.
+    Refused(&'static str),
+    /// The connection is reset before the request runs.
+    Reset,
+}
+
+/// Returns until when the sender of a request waits for the answer.
+fn deadline(request: &HttpMessage) -> Instant {
+    let stated_ms = request
+        .header("x-deadline-ms")
+        .and_then(|value| value.parse().ok());
+    Instant::now() + stated_ms.map_or(MAX_WAIT, Duration::from_millis)
+}
+
 /// Returns an answer that states that the request was not executed.
 fn refusal(status: &str, id: &str) -> String {
     response_text(
--- a/crates/ctl/tests/soak/history.rs
+++ b/crates/ctl/tests/soak/history.rs
@@ -54,11 +54,19 @@
     status: Option<u16>,
 }
 
-/// A request that a backend ran.
+/// How much of a request a backend had read when it began to work on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkStart {
+    Head,
+    WholeRequest,
+}
+
+/// A request that a backend ran, or had begun to work on.
 struct Run {
     id: String,
     backend: String,
     at: Instant,
+    start: WorkStart,
 }
 
 /// A rule that was broken, with the request and what was seen.
@@ -118,17 +126,25 @@
         }
     }
 
-    /// Records that a backend has begun to work on a request.
-    pub fn record_run(&self, id: &str, backend: &str, body: &[u8]) {
+    /// Records that a backend has begun to work on a request, which counts as a run.
+    pub fn record_run(&self, id: &str, backend: &str, start: WorkStart) {
         let run = Run {
             id: id.into(),
             backend: backend.into(),
             at: Instant::now(),
+            start,
         };
         self.runs.lock().expect("not poisoned").push(run);
-        let is_known = self.requests.lock().expect("not poisoned").contains_key(id);
+        if !self.requests.lock().expect("not poisoned").contains_key(id) {
+            let seen = format!("{backend} ran {id}, which no client sent");
+            self.record_break(Break::Unasked(seen));
+        }
+    }
+
+    /// Records the whole body of a request that a backend runs.
+    pub fn record_body(&self, id: &str, backend: &str, body: &[u8]) {
         let due = body_of(id);
-        if !is_known || due != body {
+        if due != body {
             let seen = format!(
                 "{backend} ran {id} with {} bytes, of {} due",
                 body.len(),
@@ -161,6 +177,27 @@
         counts
     }
 
+    /// Returns how many requests backends began to work on before they had read them whole.
+    pub fn begun_at_head(&self) -> usize {
+        let runs = self.runs.lock().expect("not poisoned");
+        let begun = runs.iter().filter(|run| run.start == WorkStart::Head);
+        begun.count()
+    }
+
+    /// Returns how many of the answered requests of a kind were answered with success, and how many were answered.
+    pub fn served(&self, kind: RequestKind) -> (usize, usize) {
+        let requests = self.requests.lock().expect("not poisoned");
+        let statuses = requests
+            .values()
+            .filter(|request| request.kind == kind)
+            .filter_map(|request| request.status);
+        let statuses: Vec<u16> = statuses.collect();
+        let successes = statuses
+            .iter()
+            .filter(|status| (200..300).contains(*status));
+        (successes.count(), statuses.len())
+    }
+
     /// Returns all rules that were broken; called once nothing can run any more.
     pub fn judge(&self) -> Vec<Break> {
         let mut breaks = std::mem::take(&mut *self.breaks.lock().expect("not poisoned"));
@@ -191,7 +228,7 @@
         .iter()
         .map(|run| {
             let after = run.at.saturating_duration_since(request.sent_at);
-            format!("{} after {after:.3?}", run.backend)
+            format!("{} after {after:.3?} ({:?})", run.backend, run.start)
         })
         .collect();
     format!("{id} ({:?}) ran at {}", request.kind, runs.join(", "))
--- a/crates/ctl/tests/soak/main.rs
+++ b/crates/ctl/tests/soak/main.rs
@@ -21,7 +21,7 @@
 use backend::{FaultKind, StandIn, StandInPlan};
 use client::Client;
 use cluster::{Backend, Cluster, Plan, TIMING_BOUNDS, call};
-use history::{Break, History};
+use history::{Break, History, RequestKind};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use schedule::Schedule;
@@ -113,6 +113,7 @@
                     slots: 4,
                     work: Duration::from_millis(30),
                     resets_when_full: number == 2,
+                    begins_at_head: number % 2 == 0,
                     has_link: number % 3 == 1,
                     seed: seed * 1000 + backends.len() as u64,
                 };
@@ -192,6 +193,11 @@
             "seed {seed}: answers by status {:?}",
             self.history.statuses()
         );
+        let (served, answered) = self.history.served(RequestKind::Upload);
+        println!(
+            "seed {seed}: {served} of {answered} answered uploads served, {} requests begun at their head",
+            self.history.begun_at_head()
+        );
         let breaks = self.history.judge();
         if !breaks.is_empty() {
             self.cluster.keep_files();
