Gateway, proxy: once a backend has the head of a request, the request may have run

What callers saw: 503 for uploads that a backend had begun, and uploads that ran at two backends and were answered 200.

Cause: the evidence 'incomplete' took an attempt whose last byte was never handed to the operating system as not executed.

Change: BackendProtocol states with which part of a request a backend can begin (ExecutionStart), and an attempt ends as not executed only if less than that was written. PlatformBackends keeps the whole request, ProxyBackendProtocol has the head. The test of attempts assumed the last byte for all; it now checks both starts at every cut.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -11,9 +11,9 @@
 //! ```
 //!
 //! ```compile_fail
-//! use damsonbeam_gateway::attempts::{Attempts, ConnectionId, SendPermit};
+//! use damsonbeam_gateway::attempts::{ConnectionId, ExecutionStart, SendPermit};
 //! fn use_permit_twice(permit: SendPermit, meter: std::rc::Rc<damsonbeam_gateway::write_meter::WriteMeter>) {
-//!     let sent = permit.start_sending(ConnectionId(0), meter);
+//!     let sent = permit.start_sending(ConnectionId(0), meter, ExecutionStart::Head);
 //!     let proof = permit.give_up();
 //! }
 //! ```
@@ -51,6 +51,25 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionId(pub u64);
 
+/// The part of a request with which the backends of a deployment can begin to execute it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExecutionStart {
+    /// The head: the body may arrive while the request is executed.
+    Head,
+    /// The whole request.
+    WholeRequest,
+}
+
+impl ExecutionStart {
+    /// Returns whether a backend that has received all that was written of a request can have begun to execute it.
+    fn is_reached(self, written: WriteProgress) -> bool {
+        match self {
+            ExecutionStart::Head => written != WriteProgress::HeadIncomplete,
+            ExecutionStart::WholeRequest => written == WriteProgress::Complete,
+        }
+    }
+}
+
 /// Proof that an attempt was not executed and never will be.
 #[derive(Debug)]
 pub struct NotExecuted(Evidence);
@@ -60,7 +79,7 @@
 pub enum Evidence {
     /// No part of the attempt was handed to a connection.
     NotSent,
-    /// The last byte of the attempt was never handed to the operating system.
+    /// The part of the attempt with which its backend can begin to execute it was never handed to the operating system.
     Incomplete(ConnectionId, WriteProgress),
     /// The backend declined the request in its response to it.
     Declined(Refusal, ConnectionId),
@@ -169,8 +188,17 @@
     }
 
     /// Uses the permit for an attempt that is written to a connection with this meter.
-    pub fn start_sending(self, connection: ConnectionId, meter: Rc<WriteMeter>) -> SentAttempt {
-        SentAttempt { connection, meter }
+    pub fn start_sending(
+        self,
+        connection: ConnectionId,
+        meter: Rc<WriteMeter>,
+        execution_start: ExecutionStart,
+    ) -> SentAttempt {
+        SentAttempt {
+            connection,
+            meter,
+            execution_start,
+        }
     }
 }
 
@@ -178,6 +206,7 @@
 pub struct SentAttempt {
     connection: ConnectionId,
     meter: Rc<WriteMeter>,
+    execution_start: ExecutionStart,
 }
 
 impl SentAttempt {
@@ -198,10 +227,11 @@
     ///
     /// `body_ended` states whether a streamed body was read to its end, so that its last byte may have been sent.
     pub fn end_without_response(self, body_ended: bool) -> Ending {
-        if self.meter.is_complete() || body_ended {
+        let written = self.write_progress();
+        if body_ended || self.execution_start.is_reached(written) {
             Ending::Unknown
         } else {
-            let evidence = Evidence::Incomplete(self.connection, self.write_progress());
+            let evidence = Evidence::Incomplete(self.connection, written);
             Ending::NotExecuted(NotExecuted(evidence))
         }
     }
--- a/crates/gateway/src/backends/attempt.rs
+++ b/crates/gateway/src/backends/attempt.rs
@@ -153,7 +153,8 @@
     }
     *cancel_handle.socket.borrow_mut() = connection.socket.clone();
     connection.start_request(&request);
-    let sent = permit.start_sending(connection.id, connection.meter.clone());
+    let execution_start = target.pools.protocol.execution_start();
+    let sent = permit.start_sending(connection.id, connection.meter.clone(), execution_start);
     let outgoing = target.build_request(&request, body, time_left);
     let response = target.exchange(&mut connection, outgoing).await;
     if upload.has_ended() && !connection.meter.is_complete() {
--- a/crates/gateway/src/backends/protocol.rs
+++ b/crates/gateway/src/backends/protocol.rs
@@ -8,7 +8,7 @@
     CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
 };
 
-use crate::attempts::{Refusal, Verdict};
+use crate::attempts::{ExecutionStart, Refusal, Verdict};
 
 /// Header with the name of an invocation, the same in the client, the gateway and the backend.
 pub static CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
@@ -19,6 +19,8 @@
 
 /// Protocol of the backends of a deployment.
 pub trait BackendProtocol {
+    /// Returns the part of a request with which a backend can begin to execute it.
+    fn execution_start(&self) -> ExecutionStart;
     /// Adds the headers that the gateway itself sends with a request to a backend.
     fn add_request_headers(&self, headers: &mut HeaderMap, time_left: Duration, backend: &str);
     /// Returns what a response says about the execution of its request; `request` are the headers of the request.
@@ -35,6 +37,10 @@
 pub struct PlatformBackends;
 
 impl BackendProtocol for PlatformBackends {
+    fn execution_start(&self) -> ExecutionStart {
+        ExecutionStart::WholeRequest
+    }
+
     fn add_request_headers(&self, headers: &mut HeaderMap, time_left: Duration, _: &str) {
         headers.insert(&TIME_LEFT, HeaderValue::from(time_left.as_millis() as u64));
     }
--- a/crates/gateway/tests/attempts.rs
+++ b/crates/gateway/tests/attempts.rs
@@ -3,23 +3,33 @@
 use std::rc::Rc;
 
 use damsonbeam::interface::{Outcome, RepeatMode};
-use damsonbeam_gateway::attempts::{Attempts, ConnectionId, Ending, Refusal, Repeatable, Verdict};
+use damsonbeam_gateway::attempts::{
+    Attempts, ConnectionId, Ending, ExecutionStart, Refusal, Repeatable, Verdict,
+};
 use damsonbeam_gateway::write_meter::WriteMeter;
 
-/// Returns all endings of an attempt of which the bytes `written` were written, each with whether it proves that the
-/// request was not executed.
-fn endings(written: &[u8]) -> impl Iterator<Item = (Ending, bool)> {
+const HEAD: &[u8] = b"POST / HTTP/1.1\r\n\r\n";
+const BODY: &[u8] = b"body";
+
+/// Returns all endings of an attempt of which the first `written` bytes were written, each with whether it proves that
+/// the request was not executed.
+fn endings(written: usize, start: ExecutionStart) -> impl Iterator<Item = (Ending, bool)> {
+    let request = [HEAD, BODY].concat();
     let meter = Rc::new(WriteMeter::default());
-    meter.start_request(4);
-    meter.record_written(written);
-    let is_complete = meter.is_complete();
+    meter.start_request(BODY.len());
+    meter.record_written(&request[..written]);
+    let needed = match start {
+        ExecutionStart::Head => HEAD.len(),
+        ExecutionStart::WholeRequest => request.len(),
+    };
+    let can_have_begun = written >= needed;
     let ending = move |case| {
         let permit = Attempts::new(None)
             .start_attempt()
             .expect("the first attempt always gets a permit");
-        let sent = permit.start_sending(ConnectionId(1), meter.clone());
+        let sent = permit.start_sending(ConnectionId(1), meter.clone(), start);
         match case {
-            0 => (sent.end_without_response(false), !is_complete),
+            0 => (sent.end_without_response(false), !can_have_begun),
             1 => (sent.end_without_response(true), false),
             2 => (sent.end_with_response(Verdict::Succeeded), false),
             3 => (sent.end_with_response(Verdict::Failed), false),
@@ -39,12 +49,10 @@
 
 #[test]
 fn non_repeatable_request_gets_another_permit_only_after_proof_of_non_execution() {
-    for written in [
-        &b"POST"[..],
-        b"POST / HTTP/1.1\r\n\r\nbod",
-        b"POST / HTTP/1.1\r\n\r\nbody",
-    ] {
-        for (ending, is_proof) in endings(written) {
+    let starts = [ExecutionStart::Head, ExecutionStart::WholeRequest];
+    let cuts = 0..=HEAD.len() + BODY.len();
+    for (written, start) in cuts.flat_map(|cut| starts.map(|start| (cut, start))) {
+        for (ending, is_proof) in endings(written, start) {
             let mut attempts =
                 Attempts::new(Repeatable::from_repeat_mode(RepeatMode::NonIdempotent));
             let first = attempts.next_number();
--- a/crates/proxy/src/protocol.rs
+++ b/crates/proxy/src/protocol.rs
@@ -9,7 +9,7 @@
 
 use damsonbeam::interface::{CustomerId, GatewayId, Invocation, InvocationId, RejectReason};
 use damsonbeam_control::config::{Route, Tenant};
-use damsonbeam_gateway::attempts::{NoneExecuted, Refusal, Repeatable, Verdict};
+use damsonbeam_gateway::attempts::{ExecutionStart, NoneExecuted, Refusal, Repeatable, Verdict};
 use damsonbeam_gateway::backends::{BackendProtocol, keep_end_to_end};
 use damsonbeam_gateway::bodies::ResponseBody;
 use damsonbeam_gateway::clients::{
@@ -378,6 +378,10 @@
 pub struct ProxyBackendProtocol;
 
 impl BackendProtocol for ProxyBackendProtocol {
+    fn execution_start(&self) -> ExecutionStart {
+        ExecutionStart::Head
+    }
+
     fn add_request_headers(&self, headers: &mut HeaderMap, wait: Duration, backend: &str) {
         headers.insert(&DEADLINE_MS, HeaderValue::from(wait.as_millis() as u64));
         if let Ok(id) = HeaderValue::from_str(backend) {
