Soak: series of SIGTERMs and changes, as a rolling restart brings them

One trouble in twenty is now a series of two to six SIGTERMs and changes within 1.5 s; fault spells are six in twenty (five in eighteen before). What is due at a time is a ScheduledEvent, no longer an Ending, since steps of a series are among them.

--- a/crates/ctl/tests/soak/schedule.rs
+++ b/crates/ctl/tests/soak/schedule.rs
@@ -24,9 +24,16 @@
 /// The largest share of a backend's answers that a fault spoils.
 const MAX_FAULT_SHARE: f64 = 0.08;
 const MAX_FAULTS_AT_ONCE: usize = 3;
+/// The longest time between the first and the last of a series of signals and changes.
+const MAX_SERIES_MS: u64 = 1500;
+const MAX_SERIES_STEPS: usize = 6;
 
-/// Something that ends at a time.
-enum Ending {
+/// Something that is due at a time: the end of a trouble, or a later step of a series.
+enum ScheduledEvent {
+    /// A proxy is told to end.
+    Terminate(usize),
+    /// The routes change.
+    Change,
     Thaw(usize),
     Restart(usize),
     FaultFree(usize),
@@ -39,7 +46,7 @@
 pub struct Schedule {
     rng: ChaCha8Rng,
     next: Instant,
-    endings: Vec<(Instant, Ending)>,
+    scheduled: Vec<(Instant, ScheduledEvent)>,
     config_version: u32,
 }
 
@@ -48,7 +55,7 @@
         Schedule {
             rng,
             next: Instant::now(),
-            endings: Vec::new(),
+            scheduled: Vec::new(),
             config_version: 1,
         }
     }
@@ -57,17 +64,20 @@
         Duration::from_millis(self.rng.random_range(1..=limit_ms))
     }
 
-    fn end_after(&mut self, limit_ms: u64, ending: Ending) {
+    fn schedule_within(&mut self, limit_ms: u64, event: ScheduledEvent) {
         let at = Instant::now() + self.up_to_ms(limit_ms);
-        self.endings.push((at, ending));
+        self.scheduled.push((at, event));
     }
 
     /// Begins and ends the troubles that are due.
     pub fn step(&mut self, soak: &mut Soak) {
         let now = Instant::now();
-        let (due, later): (Vec<_>, Vec<_>) = self.endings.drain(..).partition(|(at, _)| *at <= now);
-        self.endings = later;
-        due.into_iter().for_each(|(_, ending)| end(ending, soak));
+        let (due, later): (Vec<_>, Vec<_>) =
+            self.scheduled.drain(..).partition(|(at, _)| *at <= now);
+        self.scheduled = later;
+        for (_, event) in due {
+            self.handle(event, soak);
+        }
         restart_exited(&mut soak.cluster);
         if now >= self.next {
             self.begin(soak);
@@ -75,16 +85,24 @@
         }
     }
 
+    fn handle(&mut self, event: ScheduledEvent, soak: &mut Soak) {
+        match event {
+            ScheduledEvent::Terminate(index) => self.terminate(soak, index),
+            ScheduledEvent::Change => self.change_configuration(soak),
+            event => end(event, soak),
+        }
+    }
+
     /// Ends all troubles.
     pub fn finish(&mut self, soak: &mut Soak) {
-        let endings = std::mem::take(&mut self.endings);
-        endings
+        let scheduled = std::mem::take(&mut self.scheduled);
+        scheduled
             .into_iter()
-            .for_each(|(_, ending)| end(ending, soak));
+            .for_each(|(_, event)| end(event, soak));
     }
 
     fn begin(&mut self, soak: &mut Soak) {
-        match self.rng.random_range(0..18) {
+        match self.rng.random_range(0..20) {
             0 | 1 => self.terminate_proxy(soak),
             2 => self.kill(soak, |machine| !machine.is_core),
             3 => self.freeze(soak, |machine| !machine.is_core),
@@ -96,6 +114,7 @@
             10 => self.drain_backend(soak),
             11 => self.delay_link(soak),
             12 => self.stall_link(soak),
+            13 => self.begin_series(soak),
             _ => self.begin_fault_spell(soak),
         }
     }
@@ -109,26 +128,42 @@
         *eligible.choose(&mut self.rng).expect("a machine")
     }
 
+    /// Begins a series of changes and of ends of proxies, as a rolling restart brings them.
+    fn begin_series(&mut self, soak: &Soak) {
+        for _ in 0..self.rng.random_range(2..=MAX_SERIES_STEPS) {
+            let step = if self.rng.random() {
+                ScheduledEvent::Terminate(self.choose(soak, |machine| !machine.is_core))
+            } else {
+                ScheduledEvent::Change
+            };
+            self.schedule_within(MAX_SERIES_MS, step);
+        }
+    }
+
     fn terminate_proxy(&mut self, soak: &mut Soak) {
         let index = self.choose(soak, |machine| !machine.is_core);
+        self.terminate(soak, index);
+    }
+
+    fn terminate(&mut self, soak: &mut Soak, index: usize) {
         if soak.cluster.is_running(index, PROXY) {
             soak.cluster.signal(index, "-TERM");
             let at = Instant::now() + GRACE_PERIOD;
-            self.endings.push((at, Ending::Restart(index)));
+            self.scheduled.push((at, ScheduledEvent::Restart(index)));
         }
     }
 
     fn kill(&mut self, soak: &mut Soak, is_eligible: impl Fn(&Machine) -> bool) {
         let index = self.choose(soak, is_eligible);
         soak.cluster.kill_machine(index);
-        self.end_after(MAX_OUTAGE_MS, Ending::Restart(index));
+        self.schedule_within(MAX_OUTAGE_MS, ScheduledEvent::Restart(index));
     }
 
     fn freeze(&mut self, soak: &mut Soak, is_eligible: impl Fn(&Machine) -> bool) {
         let index = self.choose(soak, is_eligible);
         if all_running(&mut soak.cluster, index) {
             soak.cluster.suspend(&[index]);
-            self.end_after(MAX_FREEZE_MS, Ending::Thaw(index));
+            self.schedule_within(MAX_FREEZE_MS, ScheduledEvent::Thaw(index));
         }
     }
 
@@ -150,7 +185,7 @@
         let index = self.rng.random_range(0..soak.backends.len());
         if soak.backends[index].life().is_up {
             soak.backends[index].crash();
-            self.end_after(MAX_OUTAGE_MS, Ending::BackendUp(index));
+            self.schedule_within(MAX_OUTAGE_MS, ScheduledEvent::BackendUp(index));
         }
     }
 
@@ -160,7 +195,7 @@
         let draining = backend.life().id;
         let entries = listed(&soak.backends);
         soak.cluster.set_instances(&entries, &[&draining]);
-        self.end_after(MAX_OUTAGE_MS, Ending::Undrained);
+        self.schedule_within(MAX_OUTAGE_MS, ScheduledEvent::Undrained);
     }
 
     fn delay_link(&mut self, soak: &mut Soak) {
@@ -177,7 +212,7 @@
     fn slow_link(&mut self, soak: &mut Soak, delay: Duration) {
         let index = self.rng.random_range(0..soak.backends.len());
         soak.backends[index].set_link_delay(delay);
-        self.end_after(MAX_SPELL_MS, Ending::LinkPrompt(index));
+        self.schedule_within(MAX_SPELL_MS, ScheduledEvent::LinkPrompt(index));
     }
 
     fn begin_fault_spell(&mut self, soak: &mut Soak) {
@@ -192,28 +227,30 @@
         let shares = kinds.into_iter().take(count).map(|kind| (kind, share));
         let faults = Faults::new(shares.collect());
         soak.backends[index].set_faults(faults);
-        self.end_after(MAX_SPELL_MS, Ending::FaultFree(index));
+        self.schedule_within(MAX_SPELL_MS, ScheduledEvent::FaultFree(index));
     }
 }
 
-fn end(ending: Ending, soak: &mut Soak) {
-    match ending {
-        Ending::Thaw(index) => {
+fn end(event: ScheduledEvent, soak: &mut Soak) {
+    match event {
+        ScheduledEvent::Thaw(index) => {
             if all_running(&mut soak.cluster, index) {
                 soak.cluster.resume(&[index]);
             }
         }
-        Ending::Restart(index) => {
+        ScheduledEvent::Restart(index) => {
             soak.cluster.kill_machine(index);
             soak.cluster.start_machine(index);
         }
-        Ending::FaultFree(index) => soak.backends[index].set_faults(Faults::default()),
-        Ending::BackendUp(index) => {
+        ScheduledEvent::FaultFree(index) => soak.backends[index].set_faults(Faults::default()),
+        ScheduledEvent::BackendUp(index) => {
             soak.backends[index].restart();
             soak.cluster.set_instances(&listed(&soak.backends), &[]);
         }
-        Ending::LinkPrompt(index) => soak.backends[index].set_link_delay(Duration::ZERO),
-        Ending::Undrained => soak.cluster.set_instances(&listed(&soak.backends), &[]),
+        ScheduledEvent::LinkPrompt(index) => soak.backends[index].set_link_delay(Duration::ZERO),
+        ScheduledEvent::Undrained => soak.cluster.set_instances(&listed(&soak.backends), &[]),
+        // The rest of a series that the soak's end cuts short.
+        ScheduledEvent::Terminate(_) | ScheduledEvent::Change => {}
     }
 }
 
