Soak: planned work loses no request that ran

A proxy that has ended in order, and was started again, is no longer killed at the end of the grace period of the process before; at a soak's end of planned work the proxies that are ending keep their grace period.

--- a/crates/ctl/tests/soak/client.rs
+++ b/crates/ctl/tests/soak/client.rs
@@ -227,7 +227,8 @@
         let wait = Duration::from_millis(request.deadline_ms) + EXTRA_WAIT;
         connection.get_ref().set_read_timeout(Some(wait)).ok()?;
         connection.get_ref().set_write_timeout(Some(wait)).ok()?;
-        self.history.record_sent(&request.id, request.kind);
+        let leaves = request.departure.is_some();
+        self.history.record_sent(&request.id, request.kind, leaves);
         let bytes = request.bytes();
         let leaves_after = request.departure.as_ref().map(|d| d.after_bytes);
         let end = leaves_after.unwrap_or(bytes.len()).min(bytes.len());
--- a/crates/ctl/tests/soak/history.rs
+++ b/crates/ctl/tests/soak/history.rs
@@ -50,6 +50,8 @@
 struct SentRequest {
     kind: RequestKind,
     sent_at: Instant,
+    /// Whether the client leaves before it has the answer.
+    client_leaves: bool,
     /// The status of the complete answer, if there was one.
     status: Option<u16>,
 }
@@ -80,6 +82,16 @@
     Unasked(String),
     /// A client received an answer that is not the backend's to its request.
     Mixed(String),
+    /// A request ran and got no complete answer, though nothing but planned work was under way.
+    Lost(String),
+}
+
+/// What may have happened to the processes and backends of a soak.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Troubles {
+    All,
+    /// Ends in order, reloads, changes and drained backends only.
+    Planned,
 }
 
 impl fmt::Display for Break {
@@ -89,6 +101,7 @@
             Break::Twice(seen) => write!(f, "TWICE: {seen}"),
             Break::Unasked(seen) => write!(f, "UNASKED: {seen}"),
             Break::Mixed(seen) => write!(f, "MIXED: {seen}"),
+            Break::Lost(seen) => write!(f, "LOST: {seen}"),
         }
     }
 }
@@ -102,10 +115,11 @@
 }
 
 impl History {
-    pub fn record_sent(&self, id: &str, kind: RequestKind) {
+    pub fn record_sent(&self, id: &str, kind: RequestKind, client_leaves: bool) {
         let request = SentRequest {
             kind,
             sent_at: Instant::now(),
+            client_leaves,
             status: None,
         };
         let mut requests = self.requests.lock().expect("not poisoned");
@@ -199,7 +213,7 @@
     }
 
     /// Returns all rules that were broken; called once nothing can run any more.
-    pub fn judge(&self) -> Vec<Break> {
+    pub fn judge(&self, troubles: Troubles) -> Vec<Break> {
         let mut breaks = std::mem::take(&mut *self.breaks.lock().expect("not poisoned"));
         let runs = self.runs.lock().expect("not poisoned");
         let mut runs_by_id: HashMap<&str, Vec<&Run>> = HashMap::new();
@@ -215,6 +229,10 @@
             if PROMISES.contains(&status) {
                 breaks.push(Break::Refused(format!("{seen}, answered {status}")));
             }
+            let is_unanswered = request.status.is_none() && !request.client_leaves;
+            if troubles == Troubles::Planned && is_unanswered {
+                breaks.push(Break::Lost(seen.clone()));
+            }
             if request.kind != RequestKind::Read && runs.len() > 1 {
                 breaks.push(Break::Twice(seen));
             }
--- a/crates/ctl/tests/soak/main.rs
+++ b/crates/ctl/tests/soak/main.rs
@@ -21,7 +21,7 @@
 use backend::{FaultKind, StandIn, StandInPlan};
 use client::Client;
 use cluster::{Backend, Cluster, Plan, TIMING_BOUNDS, call};
-use history::{Break, History, RequestKind};
+use history::{Break, History, RequestKind, Troubles};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use schedule::Schedule;
@@ -39,6 +39,7 @@
     backends_per_service: usize,
     clients: usize,
     duration: Duration,
+    troubles: Troubles,
 }
 
 const SHORT: Scale = Scale {
@@ -46,6 +47,11 @@
     backends_per_service: 3,
     clients: 48,
     duration: Duration::from_secs(15),
+    troubles: Troubles::All,
+};
+const SHORT_PLANNED: Scale = Scale {
+    troubles: Troubles::Planned,
+    ..SHORT
 };
 
 /// A running soak.
@@ -177,7 +183,7 @@
                 thread::spawn(move || client.run(&stop))
             })
             .collect();
-        let mut schedule = Schedule::new(ChaCha8Rng::seed_from_u64(seed));
+        let mut schedule = Schedule::new(ChaCha8Rng::seed_from_u64(seed), scale.troubles);
         let end = Instant::now() + scale.duration;
         while Instant::now() < end {
             schedule.step(&mut self);
@@ -198,7 +204,7 @@
             "seed {seed}: {served} of {answered} answered uploads served, {} requests begun at their head",
             self.history.begun_at_head()
         );
-        let breaks = self.history.judge();
+        let breaks = self.history.judge(scale.troubles);
         if !breaks.is_empty() {
             self.cluster.keep_files();
         }
@@ -224,6 +230,12 @@
     assert_eq!(play(1..=2, SHORT), 0);
 }
 
+/// Guards against LOST: requests that end without an answer while proxies end in order.
+#[test]
+fn planned_work_loses_no_request_that_ran() {
+    assert_eq!(play(1..=1, SHORT_PLANNED), 0);
+}
+
 /// Returns the number in an environment variable.
 fn variable(name: &str, default: u64) -> u64 {
     std::env::var(name)
@@ -246,9 +258,17 @@
         .collect()
 }
 
+/// Returns planned work alone where `SOAK_TROUBLES` is `planned`, or all troubles.
+fn selected_troubles() -> Troubles {
+    match std::env::var("SOAK_TROUBLES").as_deref() {
+        Ok("planned") => Troubles::Planned,
+        _ => Troubles::All,
+    }
+}
+
 /// The long run, started by hand: `SOAK_FIRST` to `SOAK_LAST` are the seeds, `SOAK_SECONDS` the length of each,
 /// `SOAK_PROXIES` the proxies in each of three zones, `SOAK_BACKENDS` the backends of the first service, `SOAK_FAULTS` the
-/// faults of backends.
+/// faults of backends, `SOAK_TROUBLES` whether all troubles are played or planned work alone.
 #[test]
 #[ignore = "takes minutes to hours; started by hand"]
 fn long_soak() {
@@ -259,6 +279,7 @@
             as usize,
         clients: 24 * proxies_per_zone,
         duration: Duration::from_secs(variable("SOAK_SECONDS", 30)),
+        troubles: selected_troubles(),
     };
     let seeds = variable("SOAK_FIRST", 1)..=variable("SOAK_LAST", 50);
     assert_eq!(play(seeds, scale), 0);
--- a/crates/ctl/tests/soak/schedule.rs
+++ b/crates/ctl/tests/soak/schedule.rs
@@ -9,6 +9,7 @@
 
 use crate::backend::{FaultKind, Faults};
 use crate::cluster::{Cluster, Machine, PROXY};
+use crate::history::Troubles;
 use crate::{Soak, listed};
 
 /// The grace period of a proxy, after which it is killed.
@@ -42,21 +43,29 @@
     Undrained,
 }
 
+impl ScheduledEvent {
+    fn is_restart_of(&self, machines: &[usize]) -> bool {
+        matches!(self, ScheduledEvent::Restart(index) if machines.contains(index))
+    }
+}
+
 /// The troubles that are in progress.
 pub struct Schedule {
     rng: ChaCha8Rng,
     next: Instant,
     scheduled: Vec<(Instant, ScheduledEvent)>,
     config_version: u32,
+    troubles: Troubles,
 }
 
 impl Schedule {
-    pub fn new(rng: ChaCha8Rng) -> Self {
+    pub fn new(rng: ChaCha8Rng, troubles: Troubles) -> Self {
         Schedule {
             rng,
             next: Instant::now(),
             scheduled: Vec::new(),
             config_version: 1,
+            troubles,
         }
     }
 
@@ -78,9 +87,15 @@
         for (_, event) in due {
             self.handle(event, soak);
         }
-        restart_exited(&mut soak.cluster);
+        let restarted = restart_exited(&mut soak.cluster);
+        // A process that has ended in order is not killed at the end of its grace period, nor is the next one.
+        self.scheduled
+            .retain(|(_, event)| !event.is_restart_of(&restarted));
         if now >= self.next {
-            self.begin(soak);
+            match self.troubles {
+                Troubles::All => self.begin(soak),
+                Troubles::Planned => self.begin_planned(soak),
+            }
             self.next = now + self.up_to_ms(MAX_PAUSE_MS);
         }
     }
@@ -93,8 +108,11 @@
         }
     }
 
-    /// Ends all troubles.
+    /// Ends all troubles. Where only planned work was under way, the proxies that are ending keep their grace period.
     pub fn finish(&mut self, soak: &mut Soak) {
+        if self.troubles == Troubles::Planned {
+            return;
+        }
         let scheduled = std::mem::take(&mut self.scheduled);
         scheduled
             .into_iter()
@@ -119,6 +137,16 @@
         }
     }
 
+    fn begin_planned(&mut self, soak: &mut Soak) {
+        match self.rng.random_range(0..6) {
+            0 | 1 => self.terminate_proxy(soak),
+            2 => self.begin_series(soak),
+            3 => self.signal_proxy(soak, "-HUP"),
+            4 => self.change_configuration(soak),
+            _ => self.drain_backend(soak),
+        }
+    }
+
     fn choose(&mut self, soak: &Soak, is_eligible: impl Fn(&Machine) -> bool) -> usize {
         let machines = soak.cluster.machines.iter().enumerate();
         let eligible: Vec<usize> = machines
@@ -262,8 +290,9 @@
             .all(|program| cluster.is_running(index, program))
 }
 
-/// Starts the proxies again that have exited by themselves after SIGTERM.
-fn restart_exited(cluster: &mut Cluster) {
+/// Starts the proxies again that have exited by themselves after SIGTERM, and returns their machines.
+fn restart_exited(cluster: &mut Cluster) -> Vec<usize> {
+    let mut restarted = Vec::new();
     for index in 0..cluster.machines.len() {
         let programs = cluster.running_programs(index);
         let has_exited = programs
@@ -272,6 +301,8 @@
         if has_exited {
             cluster.kill_machine(index);
             cluster.start_machine(index);
+            restarted.push(index);
         }
     }
+    restarted
 }
