--- a/crates/ctl/tests/soak/backend.rs
+++ b/crates/ctl/tests/soak/backend.rs
@@ -97,7 +97,7 @@
 
 /// The identity of a backend, which changes with each start.
 #[derive(Clone)]
-pub struct Life {
+pub struct Incarnation {
     pub id: String,
     pub is_up: bool,
 }
@@ -114,8 +114,8 @@
     work: Duration,
     pub resets_when_full: bool,
     begins_at_head: bool,
-    life: Mutex<Life>,
-    lives: AtomicUsize,
+    incarnation: Mutex<Incarnation>,
+    starts: AtomicUsize,
     faults: Mutex<Faults>,
     rng: Mutex<ChaCha8Rng>,
     /// Requests that are worked on or wait.
@@ -157,12 +157,12 @@
             work: plan.work,
             resets_when_full: plan.resets_when_full,
             begins_at_head: plan.begins_at_head,
-            life: Mutex::new(Life {
+            incarnation: Mutex::new(Incarnation {
                 id: format!("{}-0", plan.name),
                 is_up: true,
             }),
             name: plan.name,
-            lives: AtomicUsize::new(1),
+            starts: AtomicUsize::new(1),
             faults: Mutex::default(),
             rng: Mutex::new(ChaCha8Rng::seed_from_u64(plan.seed)),
             taken: AtomicUsize::new(0),
@@ -174,7 +174,7 @@
         let accepting = backend.clone();
         thread::spawn(move || {
             for (number, socket) in listener.incoming().map_while(Result::ok).enumerate() {
-                if !accepting.life().is_up {
+                if !accepting.incarnation().is_up {
                     reset_on_close(&socket);
                     continue;
                 }
@@ -192,8 +192,8 @@
         backend
     }
 
-    pub fn life(&self) -> Life {
-        self.life.lock().expect("not poisoned").clone()
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation.lock().expect("not poisoned").clone()
     }
 
     pub fn set_faults(&self, faults: Faults) {
@@ -202,7 +202,7 @@
 
     /// Ends the backend as a lost machine does: its connections and new ones are reset.
     pub fn crash(&self) {
-        self.life.lock().expect("not poisoned").is_up = false;
+        self.incarnation.lock().expect("not poisoned").is_up = false;
         for (_, connection) in self.open_connections().drain() {
             connection.reset();
         }
@@ -221,10 +221,10 @@
 
     /// Starts the backend again at its address, with another id.
     pub fn restart(&self) {
-        let number = self.lives.fetch_add(1, Ordering::SeqCst);
-        let mut life = self.life.lock().expect("not poisoned");
-        life.id = format!("{}-{number}", self.name);
-        life.is_up = true;
+        let number = self.starts.fetch_add(1, Ordering::SeqCst);
+        let mut incarnation = self.incarnation.lock().expect("not poisoned");
+        incarnation.id = format!("{}-{number}", self.name);
+        incarnation.is_up = true;
     }
 
     fn chance(&self, share: f64) -> bool {
@@ -268,12 +268,12 @@
             WorkStart::Head
         } else {
             request.read_body(reader)?;
-            WorkStart::WholeRequest
+            WorkStart::CompleteRequest
         };
-        let life = self.life();
+        let incarnation = self.incarnation();
         let fault = faults.draw(&mut self.rng.lock().expect("not poisoned"));
         let until = deadline(&request);
-        let refused_status = match self.admit(&request, &life, fault, until) {
+        let refused_status = match self.admit(&request, &incarnation, fault, until) {
             Admission::Admitted => None,
             Admission::Refused(status) => Some(status),
             Admission::Reset => {
@@ -285,11 +285,11 @@
             self.send(connection, &refusal(status, &id), &faults)?;
             return match start {
                 WorkStart::Head => self.read_on(&id, request, reader),
-                WorkStart::WholeRequest => Some(()),
+                WorkStart::CompleteRequest => Some(()),
             };
         }
-        self.history.record_run(&id, &life.id, start);
-        let work = self.work_on(&id, &life, start, request, reader, fault);
+        self.history.record_run(&id, &incarnation.id, start);
+        let work = self.work_on(&id, &incarnation, start, request, reader, fault);
         self.free_slot();
         self.taken.fetch_sub(1, Ordering::SeqCst);
         work?;
@@ -303,11 +303,11 @@
     fn admit(
         &self,
         request: &HttpMessage,
-        life: &Life,
+        incarnation: &Incarnation,
         fault: Option<FaultKind>,
         until: Instant,
     ) -> Admission {
-        if request.header("x-target-instance") != Some(&*life.id) {
+        if request.header("x-target-instance") != Some(&*incarnation.id) {
             return Admission::Refused("421 Misdirected Request");
         }
         if fault == Some(FaultKind::Reset) {
@@ -331,7 +331,7 @@
     fn work_on(
         &self,
         id: &str,
-        life: &Life,
+        incarnation: &Incarnation,
         start: WorkStart,
         mut request: HttpMessage,
         reader: &mut BufReader<TcpStream>,
@@ -345,7 +345,7 @@
             }
             request.read_body(reader)?;
         }
-        self.history.record_body(id, &life.id, &request.body);
+        self.history.record_body(id, &incarnation.id, &request.body);
         thread::sleep(self.work);
         Some(())
     }
--- a/crates/ctl/tests/soak/history.rs
+++ b/crates/ctl/tests/soak/history.rs
@@ -60,7 +60,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WorkStart {
     Head,
-    WholeRequest,
+    CompleteRequest,
 }
 
 /// A request that a backend ran, or had begun to work on.
@@ -88,7 +88,7 @@
 
 /// What may have happened to the processes and backends of a soak.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Troubles {
+pub enum Disruptions {
     All,
     /// Ends in order, reloads, changes and drained backends only.
     Planned,
@@ -213,7 +213,7 @@
     }
 
     /// Returns all rules that were broken; called once nothing can run any more.
-    pub fn judge(&self, troubles: Troubles) -> Vec<Break> {
+    pub fn judge(&self, disruptions: Disruptions) -> Vec<Break> {
         let mut breaks = std::mem::take(&mut *self.breaks.lock().expect("not poisoned"));
         let runs = self.runs.lock().expect("not poisoned");
         let mut runs_by_id: HashMap<&str, Vec<&Run>> = HashMap::new();
@@ -230,7 +230,7 @@
                 breaks.push(Break::Refused(format!("{seen}, answered {status}")));
             }
             let is_unanswered = request.status.is_none() && !request.client_leaves;
-            if troubles == Troubles::Planned && is_unanswered {
+            if disruptions == Disruptions::Planned && is_unanswered {
                 breaks.push(Break::Lost(seen.clone()));
             }
             if request.kind != RequestKind::Read && runs.len() > 1 {
--- a/crates/ctl/tests/soak/main.rs
+++ b/crates/ctl/tests/soak/main.rs
@@ -21,7 +21,7 @@
 use backend::{FaultKind, StandIn, StandInPlan};
 use client::Client;
 use cluster::{Backend, Cluster, Plan, TIMING_BOUNDS, call};
-use history::{Break, History, RequestKind, Troubles};
+use history::{Break, Disruptions, History, RequestKind};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use schedule::Schedule;
@@ -39,7 +39,7 @@
     backends_per_service: usize,
     clients: usize,
     duration: Duration,
-    troubles: Troubles,
+    disruptions: Disruptions,
 }
 
 const SHORT: Scale = Scale {
@@ -47,10 +47,10 @@
     backends_per_service: 3,
     clients: 48,
     duration: Duration::from_secs(15),
-    troubles: Troubles::All,
+    disruptions: Disruptions::All,
 };
 const SHORT_PLANNED: Scale = Scale {
-    troubles: Troubles::Planned,
+    disruptions: Disruptions::Planned,
     ..SHORT
 };
 
@@ -68,7 +68,7 @@
     backends
         .iter()
         .map(|backend| Backend {
-            id: backend.life().id,
+            id: backend.incarnation().id,
             service: backend.service.into(),
             zone: backend.zone.into(),
             address: backend.address,
@@ -171,7 +171,7 @@
         });
     }
 
-    /// Plays clients and troubles; returns the rules that were broken.
+    /// Plays clients and disruptions; returns the rules that were broken.
     fn run(mut self, seed: u64, scale: Scale) -> Vec<Break> {
         let stop = Arc::new(AtomicBool::new(false));
         let proxies = self.cluster.proxy_addresses();
@@ -183,7 +183,7 @@
                 thread::spawn(move || client.run(&stop))
             })
             .collect();
-        let mut schedule = Schedule::new(ChaCha8Rng::seed_from_u64(seed), scale.troubles);
+        let mut schedule = Schedule::new(ChaCha8Rng::seed_from_u64(seed), scale.disruptions);
         let end = Instant::now() + scale.duration;
         while Instant::now() < end {
             schedule.step(&mut self);
@@ -204,7 +204,7 @@
             "seed {seed}: {served} of {answered} answered uploads served, {} requests begun at their head",
             self.history.begun_at_head()
         );
-        let breaks = self.history.judge(scale.troubles);
+        let breaks = self.history.judge(scale.disruptions);
         if !breaks.is_empty() {
             self.cluster.keep_files();
         }
@@ -258,17 +258,17 @@
         .collect()
 }
 
-/// Returns planned work alone where `SOAK_TROUBLES` is `planned`, or all troubles.
-fn selected_troubles() -> Troubles {
-    match std::env::var("SOAK_TROUBLES").as_deref() {
-        Ok("planned") => Troubles::Planned,
-        _ => Troubles::All,
+/// Returns planned work alone where `SOAK_DISRUPTIONS` is `planned`, or all disruptions.
+fn selected_disruptions() -> Disruptions {
+    match std::env::var("SOAK_DISRUPTIONS").as_deref() {
+        Ok("planned") => Disruptions::Planned,
+        _ => Disruptions::All,
     }
 }
 
 /// The long run, started by hand: `SOAK_FIRST` to `SOAK_LAST` are the seeds, `SOAK_SECONDS` the length of each,
 /// `SOAK_PROXIES` the proxies in each of three zones, `SOAK_BACKENDS` the backends of the first service, `SOAK_FAULTS` the
-/// faults of backends, `SOAK_TROUBLES` whether all troubles are played or planned work alone.
+/// faults of backends, `SOAK_DISRUPTIONS` whether all disruptions are played or planned work alone.
 #[test]
 #[ignore = "takes minutes to hours; started by hand"]
 fn long_soak() {
@@ -279,7 +279,7 @@
             as usize,
         clients: 24 * proxies_per_zone,
         duration: Duration::from_secs(variable("SOAK_SECONDS", 30)),
-        troubles: selected_troubles(),
+        disruptions: selected_disruptions(),
     };
     let seeds = variable("SOAK_FIRST", 1)..=variable("SOAK_LAST", 50);
     assert_eq!(play(seeds, scale), 0);
--- a/crates/ctl/tests/soak/schedule.rs
+++ b/crates/ctl/tests/soak/schedule.rs
@@ -9,7 +9,7 @@
 
 use crate::backend::{FaultKind, Faults};
 use crate::cluster::{Cluster, Machine, PROXY};
-use crate::history::Troubles;
+use crate::history::Disruptions;
 use crate::{Soak, listed};
 
 /// The grace period of a proxy, after which it is killed.
@@ -55,17 +55,17 @@
     next: Instant,
     scheduled: Vec<(Instant, ScheduledEvent)>,
     config_version: u32,
-    troubles: Troubles,
+    disruptions: Disruptions,
 }
 
 impl Schedule {
-    pub fn new(rng: ChaCha8Rng, troubles: Troubles) -> Self {
+    pub fn new(rng: ChaCha8Rng, disruptions: Disruptions) -> Self {
         Schedule {
             rng,
             next: Instant::now(),
             scheduled: Vec::new(),
             config_version: 1,
-            troubles,
+            disruptions,
         }
     }
 
@@ -92,9 +92,9 @@
         self.scheduled
             .retain(|(_, event)| !event.is_restart_of(&restarted));
         if now >= self.next {
-            match self.troubles {
-                Troubles::All => self.begin(soak),
-                Troubles::Planned => self.begin_planned(soak),
+            match self.disruptions {
+                Disruptions::All => self.begin(soak),
+                Disruptions::Planned => self.begin_planned(soak),
             }
             self.next = now + self.up_to_ms(MAX_PAUSE_MS);
         }
@@ -110,7 +110,7 @@
 
     /// Ends all troubles. Where only planned work was under way, the proxies that are ending keep their grace period.
     pub fn finish(&mut self, soak: &mut Soak) {
-        if self.troubles == Troubles::Planned {
+        if self.disruptions == Disruptions::Planned {
             return;
         }
         let scheduled = std::mem::take(&mut self.scheduled);
@@ -211,7 +211,7 @@
 
     fn crash_backend(&mut self, soak: &mut Soak) {
         let index = self.rng.random_range(0..soak.backends.len());
-        if soak.backends[index].life().is_up {
+        if soak.backends[index].incarnation().is_up {
             soak.backends[index].crash();
             self.schedule_within(MAX_OUTAGE_MS, ScheduledEvent::BackendUp(index));
         }
@@ -220,7 +220,7 @@
     fn drain_backend(&mut self, soak: &mut Soak) {
         let index = self.rng.random_range(0..soak.backends.len());
         let backend = &soak.backends[index];
-        let draining = backend.life().id;
+        let draining = backend.incarnation().id;
         let entries = listed(&soak.backends);
         soak.cluster.set_instances(&entries, &[&draining]);
         self.schedule_within(MAX_OUTAGE_MS, ScheduledEvent::Undrained);
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -56,8 +56,8 @@
 pub enum ExecutionStart {
     /// The head: the body may arrive while the request is executed.
     Head,
-    /// The whole request.
-    WholeRequest,
+    /// The complete request.
+    CompleteRequest,
 }
 
 impl ExecutionStart {
@@ -65,7 +65,7 @@
     fn is_reached(self, written: WriteProgress) -> bool {
         match self {
             ExecutionStart::Head => written != WriteProgress::HeadIncomplete,
-            ExecutionStart::WholeRequest => written == WriteProgress::Complete,
+            ExecutionStart::CompleteRequest => written == WriteProgress::Complete,
         }
     }
 }
--- a/crates/gateway/src/backends/connection.rs
+++ b/crates/gateway/src/backends/connection.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::hash::Hasher;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -11,7 +10,6 @@
 use std::task::{Context, Poll, ready};
 
 use damsonbeam_admin::IntCounter;
-use fnv::FnvHasher;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -23,6 +21,7 @@
 use crate::attempts::ConnectionId;
 use crate::bodies::Upload;
 use crate::messages::{ForwardedRequest, Socket};
+use crate::name_hash::hash_name;
 use crate::sizes::MAX_HEAD;
 use crate::write_meter::WriteMeter;
 
@@ -108,20 +107,14 @@
         if self.0.len() == MAX_CARRIED_REQUESTS {
             self.0.pop_front();
         }
-        self.0.push_back(hash_of(name));
+        self.0.push_back(hash_name(name));
     }
 
     fn contains(&self, name: &str) -> bool {
-        self.0.contains(&hash_of(name))
+        self.0.contains(&hash_name(name))
     }
 }
 
-fn hash_of(name: &str) -> u64 {
-    let mut hasher = FnvHasher::default();
-    hasher.write(name.as_bytes());
-    hasher.finish()
-}
-
 impl BackendConnection {
     /// Prepares the connection for an attempt of a request.
     pub(super) fn start_request(&self, request: &ForwardedRequest) {
--- a/crates/gateway/src/backends/protocol.rs
+++ b/crates/gateway/src/backends/protocol.rs
@@ -38,7 +38,7 @@
 
 impl BackendProtocol for PlatformBackends {
     fn execution_start(&self) -> ExecutionStart {
-        ExecutionStart::WholeRequest
+        ExecutionStart::CompleteRequest
     }
 
     fn add_request_headers(&self, headers: &mut HeaderMap, time_left: Duration, _: &str) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `platform_protocol` | the request format of the deployments' clients |
 //! | `attempts` | which requests may be sent to a backend again, enforced by types |
 //! | `peer_admissions` | the admitted units that the other gateways report |
+//! | `name_hash` | hashes of the names of requests and counters |
 //! | `handover` | the socket between a process and its successor |
 //! | `bodies`, `memory_budget`, `request_heads`, `write_meter`, `sizes` | message bodies, buffers and their limits |
 //! | `config`, `log`, `account`, `clock` | configuration, log lines, counts for each second, time |
@@ -33,6 +34,7 @@
 pub mod log;
 pub mod memory_budget;
 pub mod messages;
+mod name_hash;
 pub mod peer_admissions;
 pub mod peers;
 pub mod phase;
--- a/crates/gateway/src/peer_admissions.rs
+++ b/crates/gateway/src/peer_admissions.rs
@@ -9,11 +9,11 @@
 //! reports are off unless the configuration sets `witness` (docs/counter-failure.md).
 
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::hash::Hasher;
 use std::time::Duration;
 
 use damsonbeam::interface::{AdmittedUnits, GatewayId};
-use fnv::FnvHasher;
+
+use crate::name_hash::hash_name;
 
 /// Interval between reports.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(200);
@@ -30,12 +30,6 @@
 /// Size of the entry for one name: the hash of the name and the admitted units as `f32`.
 pub const ENTRY_BYTES: usize = 12;
 
-fn hash_name(name: &str) -> u64 {
-    let mut hasher = FnvHasher::default();
-    hasher.write(name.as_bytes());
-    hasher.finish()
-}
-
 /// Own report under one name.
 #[derive(Default)]
 struct OwnReport {
--- a/crates/gateway/src/write_meter.rs
+++ b/crates/gateway/src/write_meter.rs
@@ -17,11 +17,11 @@
 impl fmt::Display for WriteProgress {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
-            WriteProgress::HeadIncomplete => write!(f, "head not written whole"),
+            WriteProgress::HeadIncomplete => write!(f, "head not written completely"),
             WriteProgress::BodyIncomplete(bytes) => {
                 write!(f, "head and {bytes} bytes of the body written")
             }
-            WriteProgress::Complete => write!(f, "written whole"),
+            WriteProgress::Complete => write!(f, "written completely"),
         }
     }
 }
--- a/crates/gateway/tests/attempts.rs
+++ b/crates/gateway/tests/attempts.rs
@@ -20,7 +20,7 @@
     meter.record_written(&request[..written]);
     let needed = match start {
         ExecutionStart::Head => HEAD.len(),
-        ExecutionStart::WholeRequest => request.len(),
+        ExecutionStart::CompleteRequest => request.len(),
     };
     let can_have_begun = written >= needed;
     let ending = move |case| {
@@ -49,7 +49,7 @@
 
 #[test]
 fn non_repeatable_request_gets_another_permit_only_after_proof_of_non_execution() {
-    let starts = [ExecutionStart::Head, ExecutionStart::WholeRequest];
+    let starts = [ExecutionStart::Head, ExecutionStart::CompleteRequest];
     let cuts = 0..=HEAD.len() + BODY.len();
     for (written, start) in cuts.flat_map(|cut| starts.map(|start| (cut, start))) {
         for (ending, is_proof) in endings(written, start) {
--- a/crates/gateway/tests/write_meter.rs
+++ b/crates/gateway/tests/write_meter.rs
@@ -26,7 +26,7 @@
 }
 
 #[test]
-fn body_of_unknown_length_is_never_written_whole() {
+fn body_of_unknown_length_is_never_written_completely() {
     let meter = WriteMeter::default();
     meter.start_request(usize::MAX);
     meter.record_written(&[HEAD, BODY].concat());
