--- a/review/4/scenario.py
+++ b/review/4/scenario.py
@@ -21,21 +21,25 @@
 
 
 class Desk:
-    """One operator: its three routes, the last version of them that was acknowledged, and the order that had no answer."""
+    """One operator: its routes, the last version of them that was acknowledged, and the order that had no answer."""
 
     def __init__(self, number):
-        self.number, self.sent, self.acknowledged, self.open = number, 1, 1, None
+        self.number, self.sent, self.acknowledged, self.open = number, 2, 2, None
 
     def routes(self, version):
-        """The first route moves to another place with each version, the others go to another service."""
+        """The first route moves to another place with each version, the second goes to another service, and the third is
+        there with even versions only."""
         target = f"service-{version % 2}"
         host = f"desk-{self.number}.example"
-        return [route(f"desk-{self.number}-moving", host, f"/place-{version}/", target, version=version),
-                route(f"desk-{self.number}-a", host, "/a/", target, version=version),
-                route(f"desk-{self.number}-b", host, "/b/", target, version=version)]
+        routes = [route(f"desk-{self.number}-moving", host, f"/place-{version}/", target, version=version),
+                  route(f"desk-{self.number}-a", host, "/a/", target, version=version)]
+        if version % 2 == 0:
+            routes.append(route(f"desk-{self.number}-b", host, "/b/", target, version=version))
+        return routes
 
     def order(self, version):
-        return {"upserts": {"route_list": self.routes(version)}, "removals": {}}
+        dropped = [] if version % 2 == 0 else [{"name": f"desk-{self.number}-b", "config_version": f"r{version}"}]
+        return {"upserts": {"route_list": self.routes(version)}, "removals": {"route_list": dropped}}
 
 
 def case(record, trouble, holder):
@@ -45,7 +49,7 @@
     cluster.list_servers()
     cluster.start()
     desks = [Desk(number) for number in range(ORDERS_AT_ONCE)]
-    first = [item for desk in desks for item in desk.routes(1)]
+    first = [item for desk in desks for item in desk.routes(2)]
     cluster.order("PATCH", "/-/configuration", {"upserts": {
         "service_list": [service(name) for name in servers], "route_list": first,
         "tenant_list": [tenant("members", ["key-members"])], "limits": limits()}, "removals": {}})
@@ -151,7 +155,10 @@
             record.line(f"round {round_number}: the configuration could not be read")
             continue
         for desk, version in refused:
-            parts = [item["name"] for item in desk.routes(version) if known.get(item["name"], {}).get("config_version") == f"r{version}"]
+            parts = [item["name"] for item in desk.routes(version)
+                     if known.get(item["name"], {}).get("config_version") == f"r{version}"]
+            if desk.acknowledged % 2 == 0 and f"desk-{desk.number}-b" not in known:
+                parts.append(f"the removal of desk-{desk.number}-b, which r{desk.acknowledged} acknowledged")
             if parts:
                 broken.append((desk, version, parts))
                 record.line(f"round {round_number}: {names(desk, version)} was refused, and is in force: {parts}")
