--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -384,27 +384,30 @@
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.line(f"trouble: {'yes' if trouble else 'no'}")
+    holder = []
 
     def out_of_time():
         record.line("the script ran out of time")
+        for started in holder:
+            started.stop()
         os._exit(2)
 
+    def end(*_):
+        raise CannotRun("the script was told to end")
+
+    signal.signal(signal.SIGTERM, end)
     timer = threading.Timer(115.0, out_of_time)
     timer.daemon = True
     timer.start()
-    cluster, code = None, 2
+    code = 2
     try:
-        holder = []
         broken = case(record, trouble, holder)
-        cluster = holder[0] if holder else None
-        ended = cluster.ended_by_themselves() if cluster else []
-        for line in ended:
+        for line in holder[0].ended_by_themselves():
             record.line(f"ended by itself: {line}")
         record.line(f"verdict: {'the rule was broken' if broken else 'the rule held'}")
         code = 1 if broken else 0
-    except CannotRun as reason:
-        cluster = holder[0] if holder else None
-        record.line(f"the case could not run: {reason}")
+    except Exception as reason:  # An error of the script's own must not look like a broken rule.
+        record.line(f"the case could not run: {reason.__class__.__name__}: {reason}")
     finally:
         for started in holder:
             started.stop()
