Store: the log says where committed items come from

Change: the replica reports what it applies, rejects, recovers and reverts; the process logs it. No change of logic.

--- a/crates/config-store/src/consensus/command.rs
+++ b/crates/config-store/src/consensus/command.rs
@@ -30,6 +30,8 @@
 pub(super) struct PendingCommand {
     pub(super) requester: Requester,
     pub(super) command: Command,
+    /// When this replica received the command.
+    pub(super) received_at: Duration,
     /// From this time on the command must not be applied.
     pub(super) expires_at: Duration,
     /// The command was forwarded and reclaimed after a timeout: another replica may apply it as well.
@@ -48,8 +50,12 @@
 /// Reverts uncommitted items until the snapshot is valid. Items of abandoned rounds may conflict with items committed
 /// since. Each pass reverts the item with the lowest proposal number whose removal alone makes the snapshot valid, or,
 /// if there is none, the item with the lowest number. Committed items never conflict with each other, because each
-/// proposal was validated against everything committed before it.
-pub(super) fn revert_conflicting_items(snapshot: &mut ConfigSnapshot, committed: &ConfigSnapshot) {
+/// proposal was validated against everything committed before it. Returns the reverted items.
+pub(super) fn revert_conflicting_items(
+    snapshot: &mut ConfigSnapshot,
+    committed: &ConfigSnapshot,
+) -> Vec<Item> {
+    let before = snapshot.clone();
     while snapshot.validate().is_err() {
         let uncommitted_items = uncommitted(snapshot, committed);
         let uncommitted_items = uncommitted_items.filter(|item| !item.key.kind.is_internal());
@@ -58,7 +64,7 @@
             .collect();
         uncommitted_items.sort_unstable();
         let Some((_, oldest)) = uncommitted_items.first() else {
-            return;
+            break;
         };
         let candidates = uncommitted_items
             .iter()
@@ -69,6 +75,7 @@
             .unwrap_or_else(|| with_committed_item(snapshot, oldest, committed));
         *snapshot = next;
     }
+    uncommitted(&before, snapshot).cloned().collect()
 }
 
 /// Returns the snapshot with one item reverted to its committed state.
--- a/crates/config-store/src/consensus/effect.rs
+++ b/crates/config-store/src/consensus/effect.rs
@@ -6,7 +6,7 @@
 use damsonbeam_control::config::Item;
 use damsonbeam_control::messages::{CommandReply, Message, encode};
 
-use super::DurableWrite;
+use super::{DurableWrite, Event};
 
 /// An effect of a call to the replica. All writes of a call must be on disk before any of its messages is sent.
 #[derive(Clone, Debug, PartialEq)]
@@ -21,6 +21,8 @@
     Reply(u64, CommandReply),
     /// Send newly committed items to the registry.
     Committed(Vec<Item>),
+    /// Write a line to the log.
+    Log(Event),
 }
 
 impl Hash for Effect {
@@ -32,6 +34,7 @@
             Effect::Broadcast(message) => encode(message).hash(state),
             Effect::Reply(number, reply) => (number, reply).hash(state),
             Effect::Committed(items) => items.hash(state),
+            Effect::Log(event) => event.hash(state),
         }
     }
 }
--- a/crates/config-store/src/consensus/forwarding.rs
+++ b/crates/config-store/src/consensus/forwarding.rs
@@ -29,6 +29,7 @@
         let pending = PendingCommand {
             requester: Requester::Local { number },
             command,
+            received_at: now,
             expires_at: now + timeout.saturating_sub(waited),
             was_forwarded: false,
         };
@@ -123,6 +124,7 @@
                 number,
             },
             command,
+            received_at: now,
             // The sender reclaims the command at this time, and its caller may get another answer.
             expires_at: now + FORWARD_TIMEOUT,
             was_forwarded: false,
--- a/crates/config-store/src/consensus/mod.rs
+++ b/crates/config-store/src/consensus/mod.rs
@@ -39,7 +39,7 @@
 //!
 //! # Modules
 //!
-//! Data: [`voters`], `durable` (state on disk), `effect` (actions for the caller), `command` (how a command changes the
+//! Data: [`voters`], `durable` (state on disk), `effect` (actions for the caller), `event` (for the log), `command` (how a command changes the
 //! configuration), `round` (a proposer's round), `timing` (timeouts and intervals). Behaviour of the [`Replica`]:
 //! `replica` (its state and entry points), `acceptor`, `proposer`, `forwarding`, `repair` and `presence`, which applies
 //! [`membership`].
@@ -48,6 +48,7 @@
 mod command;
 mod durable;
 mod effect;
+mod event;
 mod forwarding;
 pub mod membership;
 mod presence;
@@ -60,4 +61,5 @@
 
 pub use durable::{DurableState, DurableWrite};
 pub use effect::Effect;
+pub use event::{CommandOrigin, Event, describe_items};
 pub use replica::Replica;
--- a/crates/config-store/src/consensus/proposer.rs
+++ b/crates/config-store/src/consensus/proposer.rs
@@ -4,19 +4,21 @@
 use std::time::Duration;
 
 use damsonbeam_control::address::Ip;
-use damsonbeam_control::config::{Item, ItemKind, ProposalNumber};
+use damsonbeam_control::config::{ConfigSnapshot, Item, ItemKind, ProposalNumber};
 use damsonbeam_control::messages::{AcceptAnswer, Command, CommandReply, Message, ReplicaItems};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::command::{PendingCommand, Requester, apply, revert_conflicting_items, uncommitted};
+use super::command::{
+    Outcome, PendingCommand, Requester, apply, revert_conflicting_items, uncommitted,
+};
 use super::round::{AfterCommit, Phase, Round};
 use super::timing::{
     BACKOFF_PER_CONFLICT, EXTRA_PROMISES_TIMEOUT, MAX_BACKOFF_CONFLICTS, PHASE_TIMEOUT,
     VOTER_SET_CHANGE_RETRY_INTERVAL,
 };
 use super::voters::{Voter, VoterSet};
-use super::{Effect, Replica};
+use super::{Effect, Event, Replica};
 
 /// An acceptor's answer to a prepare; see [`Message::Promise`].
 pub(super) struct Promise {
@@ -228,7 +230,11 @@
         let mut snapshot = std::mem::take(&mut **collected_items);
         let proposal_number = round.proposal_number;
         let epoch = round.voters.epoch;
-        revert_conflicting_items(&mut snapshot, &self.durable.committed);
+        let reverted = revert_conflicting_items(&mut snapshot, &self.durable.committed);
+        if !reverted.is_empty() {
+            let event = Event::ItemsReverted(reverted);
+            self.effects.push(Effect::Log(event));
+        }
         let uncommitted_items = uncommitted(&snapshot, &self.durable.committed).map(|item| Item {
             proposal_number,
             ..item.clone()
@@ -241,6 +247,8 @@
         if uncommitted_items.is_empty() {
             self.continue_after_recovery(now);
         } else {
+            let event = Event::ItemsRecovered(uncommitted_items.clone());
+            self.effects.push(Effect::Log(event));
             self.propose(uncommitted_items, AfterCommit::ContinueAfterRecovery, now);
         }
     }
@@ -277,6 +285,9 @@
                 continue;
             }
             let outcome = apply(&snapshot, &pending.command, round.proposal_number);
+            if let Some(event) = describe_outcome(pending, &outcome, &snapshot, now) {
+                self.effects.push(Effect::Log(event));
+            }
             snapshot = outcome.next.unwrap_or(snapshot);
             let reply = match outcome.reply {
                 // The replica that received the forwarded command may still find it valid.
@@ -376,3 +387,23 @@
         }
     }
 }
+
+/// Returns the event for the outcome of a command; `None` if the command changes nothing and is not rejected.
+fn describe_outcome(
+    pending: &PendingCommand,
+    outcome: &Outcome,
+    before: &ConfigSnapshot,
+    now: Duration,
+) -> Option<Event> {
+    let origin = pending.requester.into();
+    if let CommandReply::Invalid(reason) = &outcome.reply {
+        let reason = reason.clone();
+        return Some(Event::CommandRejected { origin, reason });
+    }
+    let next = outcome.next.as_ref()?;
+    Some(Event::CommandApplied {
+        origin,
+        age: now.saturating_sub(pending.received_at),
+        items: uncommitted(next, before).cloned().collect(),
+    })
+}
--- a/crates/config-store/src/process/effects.rs
+++ b/crates/config-store/src/process/effects.rs
@@ -3,18 +3,15 @@
 use std::time::Duration;
 
 use damsonbeam_control::address::Ip;
-use damsonbeam_control::config::Item;
 use damsonbeam_control::messages::{CommandReply, Message, encode};
 
 use super::links::LinkId;
 use super::store::{DISK_UNAVAILABLE, StoreProcess, configuration_items};
-use crate::consensus::{DurableWrite, Effect, Replica};
+use crate::consensus::{DurableWrite, Effect, Replica, describe_items};
 use crate::disk::Disk;
 
 /// The interval between attempts to reopen a disk that failed.
 const DISK_RETRY_INTERVAL: Duration = Duration::from_millis(400);
-/// The maximum number of items named in one log line.
-const MAX_ITEMS_LOGGED: usize = 8;
 
 impl StoreProcess {
     /// Executes the replica's effects: writes are synced to disk before any message is sent. If the write fails, no
@@ -39,6 +36,7 @@
                         self.reply(source, reply);
                     }
                 }
+                Effect::Log(event) => log::info!("store: {event}."),
                 Effect::Committed(items) => {
                     log::info!("store: committed {}.", describe_items(&items));
                     let items = configuration_items(items.into_iter());
@@ -114,14 +112,3 @@
         }
     }
 }
-
-/// Formats items by name and version, at most [`MAX_ITEMS_LOGGED`] of them.
-fn describe_items(items: &[Item]) -> String {
-    let describe = |item: &Item| format!("{} r{}", item.key.name, item.version);
-    let named: Vec<String> = items.iter().take(MAX_ITEMS_LOGGED).map(describe).collect();
-    let mut text = named.join(", ");
-    if items.len() > MAX_ITEMS_LOGGED {
-        text += &format!(" and {} more", items.len() - MAX_ITEMS_LOGGED);
-    }
-    text
-}
--- a/crates/config-store/tests/fault_simulation/simulation.rs
+++ b/crates/config-store/tests/fault_simulation/simulation.rs
@@ -286,7 +286,7 @@
         }
         for effect in effects {
             match effect {
-                Effect::Persist(_) | Effect::Committed(_) => {}
+                Effect::Persist(_) | Effect::Committed(_) | Effect::Log(_) => {}
                 Effect::Send(to, message) => self.send(n, machine_index(to), &message),
                 Effect::Broadcast(message) => {
                     (0..self.machines.len()).for_each(|to| self.send(n, to, &message));
--- a/crates/config-store/tests/model.rs
+++ b/crates/config-store/tests/model.rs
@@ -194,7 +194,7 @@
                     .filter(|to| *to != n)
                     .for_each(|to| self.send(state, n, to, message.clone())),
                 Effect::Reply(number, reply) => self.reply(state, number as usize, reply),
-                Effect::Persist(_) | Effect::Committed(_) => {}
+                Effect::Persist(_) | Effect::Committed(_) | Effect::Log(_) => {}
             }
         }
     }
