Store: a late copy of a command is not applied after a refusal

Cause: a forwarded copy waits in the socket of the store that stood still, and its age is counted from its reading. The refusal left nothing behind that the copy would meet. Evidence: the log shows commands of another store applied 102 to 244 ms after they were read, after that store had rejected them. Change: a refusal, and an evacuation that finds nothing to do, write one of their items again in their round; each command bears the newest commit known before its caller was last asked whether it waits, and is not applied if one of its items was written since: the caller is asked again. Two messages are appended (ForwardCommand, ForwardOutdated). The removal of version 0 of an item that does not exist changes nothing, as that is how an item that is not set is stored.

--- a/crates/config-store/src/consensus/acceptor.rs
+++ b/crates/config-store/src/consensus/acceptor.rs
@@ -143,6 +143,8 @@
         if new.is_empty() {
             return;
         }
+        let numbers = new.iter().map(|item| item.proposal_number);
+        self.newest_commit = numbers.fold(self.newest_commit, ProposalNumber::max);
         if new.iter().any(|item| item.key.kind == ItemKind::Voters) {
             self.voters = VoterSet::from_snapshot(&self.durable.committed);
         }
--- a/crates/config-store/src/consensus/command.rs
+++ b/crates/config-store/src/consensus/command.rs
@@ -34,8 +34,30 @@
     pub(super) received_at: Duration,
     /// From this time on the command must not be applied.
     pub(super) expires_at: Duration,
-    /// The command was forwarded and reclaimed after a timeout: another replica may apply it as well.
-    pub(super) was_forwarded: bool,
+    /// The newest commit known before the caller was asked whether it still waits. If an item of the command was written
+    /// later, the caller may have been given another answer by another replica since.
+    pub(super) as_of: ProposalNumber,
+}
+
+impl PendingCommand {
+    /// Returns the command's items that were written after `as_of`.
+    pub(super) fn items_written_since(&self, snapshot: &ConfigSnapshot) -> Vec<Item> {
+        let keys = match &self.command {
+            Command::Read => Vec::new(),
+            Command::Change(change) => change.items.iter().map(|item| item.key.clone()).collect(),
+            Command::Evacuate { zone, .. } => vec![evacuation_key(zone)],
+        };
+        let items = keys.iter().filter_map(|key| snapshot.get(key));
+        let written_since = items.filter(|item| item.proposal_number > self.as_of);
+        written_since.cloned().collect()
+    }
+}
+
+fn evacuation_key(zone: &str) -> ItemKey {
+    ItemKey {
+        kind: ItemKind::Evacuation,
+        name: zone.into(),
+    }
 }
 
 /// Returns the items of a snapshot that differ from the committed ones.
@@ -93,71 +115,139 @@
 }
 
 /// The result of applying a command.
-pub(super) struct Outcome {
-    /// The configuration after the command; `None` if the command changes nothing.
-    pub(super) next: Option<ConfigSnapshot>,
-    pub(super) reply: CommandReply,
+pub(super) enum Outcome {
+    /// The command changes the configuration to this one.
+    Applied(ConfigSnapshot),
+    /// The command changes nothing, but the present content of an item is written again. The reply must not be sent
+    /// before this is committed.
+    Confirmed {
+        next: ConfigSnapshot,
+        reply: CommandReply,
+    },
+    /// Nothing is written.
+    Unchanged(CommandReply),
+    /// The command is not applied, because an item of it was written after its caller was last known to wait.
+    Outdated,
 }
 
-impl Outcome {
-    fn unchanged(reply: CommandReply) -> Self {
-        Outcome { next: None, reply }
-    }
+/// Applies commands within one round.
+pub(super) struct CommandApplier<'a> {
+    /// The configuration before the command.
+    pub(super) snapshot: &'a ConfigSnapshot,
+    /// The number under which the command's items are proposed.
+    pub(super) proposal_number: ProposalNumber,
+}
 
-    fn changed(next: ConfigSnapshot) -> Self {
-        Outcome {
-            next: Some(next),
-            reply: CommandReply::Done,
+impl CommandApplier<'_> {
+    /// Applies a command to the whole configuration. The reply to a read has no items: the caller adds the items in
+    /// force after all commands of the round.
+    ///
+    /// Other copies of the command may exist: forwarded to a replica that is stalled, or accepted by a minority. An
+    /// answer that such a copy could contradict later is therefore accompanied by a write, which supersedes the accepted
+    /// copies and makes the others outdated.
+    pub(super) fn apply(&self, pending: &PendingCommand) -> Outcome {
+        let outcome = match &pending.command {
+            Command::Read => Outcome::Unchanged(CommandReply::Config(Vec::new())),
+            Command::Change(change) => self.apply_change(change),
+            Command::Evacuate { zone, evacuated } => self.apply_evacuation(zone, *evacuated),
+        };
+        match outcome {
+            Outcome::Applied(_) if !pending.items_written_since(self.snapshot).is_empty() => {
+                Outcome::Outdated
+            }
+            outcome => outcome,
         }
     }
-}
 
-/// Applies a command to the whole configuration. The reply to a read has no items: the caller adds the items in force
-/// after all commands of the round.
-pub(super) fn apply(
-    snapshot: &ConfigSnapshot,
-    command: &Command,
-    proposal_number: ProposalNumber,
-) -> Outcome {
-    match command {
-        Command::Read => Outcome::unchanged(CommandReply::Config(Vec::new())),
-        Command::Change(change) => apply_change(snapshot, change, proposal_number),
-        Command::Evacuate { zone, evacuated } => {
-            apply_evacuation(snapshot, zone, *evacuated, proposal_number)
+    fn apply_change(&self, change: &ConfigChange) -> Outcome {
+        if let Err(error) = change.validate_items() {
+            // No replica ever proposes such a change.
+            return Outcome::Unchanged(error.into());
+        }
+        let items = self.snapshot.effective_items(change);
+        if let Err(error) = self.check_versions(change) {
+            return self.reject(&items, error);
+        }
+        if items.is_empty() {
+            // All items of the change are in force or superseded. They were valid when committed, so a repeated change
+            // is acknowledged without validating it against the present configuration.
+            return Outcome::Unchanged(CommandReply::Done);
+        }
+        let mut next = self.snapshot.clone();
+        for item in &items {
+            next.merge(Item {
+                proposal_number: self.proposal_number,
+                ..item.clone()
+            });
+        }
+        match validate(&next, change) {
+            Ok(()) => Outcome::Applied(next),
+            Err(error) => self.reject(&items, error),
         }
     }
-}
 
-fn apply_change(
-    snapshot: &ConfigSnapshot,
-    change: &ConfigChange,
-    proposal_number: ProposalNumber,
-) -> Outcome {
-    let reused = change
-        .items
-        .iter()
-        .find(|item| reuses_version(snapshot, change, item));
-    if let Some(item) = reused {
-        let reason = format!("r{} is already in use for different content", item.version);
-        let error = InvalidConfig::item(&item.key.name, reason);
-        return Outcome::unchanged(error.into());
+    /// Checks that no version in the change is in force with different content. An item of a lower version than the one
+    /// in force is superseded and passes, because the content of that version is no longer known.
+    fn check_versions(&self, change: &ConfigChange) -> Result<(), InvalidConfig> {
+        // The removal of version 0 of an item changes nothing.
+        for item in change.items.iter().filter(|item| !item.is_unset()) {
+            let in_force = self.snapshot.get(&item.key);
+            let has_other_content = |known: &&Item| {
+                known.version == item.version && known.body != item.body && !known.is_unset()
+            };
+            if in_force.filter(has_other_content).is_some() {
+                let reason = format!("r{} is already in use for different content", item.version);
+                return Err(InvalidConfig::item(&item.key.name, reason));
+            }
+        }
+        Ok(())
     }
-    let items = snapshot.effective_items(change);
-    if items.is_empty() {
-        // All items of the change are in force or superseded. They were valid when committed, so a repeated change is
-        // acknowledged without validating it against the present configuration.
-        return Outcome::unchanged(CommandReply::Done);
+
+    /// Rejects a change. A change without effective items needs no write: versions only rise, so no copy of it can take
+    /// effect later. Otherwise one of these items is enough, because every copy of the change contains it.
+    fn reject(&self, effective_items: &[Item], error: InvalidConfig) -> Outcome {
+        let reply = CommandReply::from(error);
+        match effective_items.first() {
+            Some(item) => Outcome::Confirmed {
+                next: self.with_item_confirmed(&item.key),
+                reply,
+            },
+            None => Outcome::Unchanged(reply),
+        }
     }
-    let mut next = snapshot.clone();
-    for item in items {
+
+    fn apply_evacuation(&self, zone: &str, evacuated: bool) -> Outcome {
+        let key = evacuation_key(zone);
+        let known = self.snapshot.get(&key);
+        let is_evacuated = known.is_some_and(|item| !item.is_removed());
+        if is_evacuated == evacuated {
+            // The opposite command may have been accepted by a minority.
+            return Outcome::Confirmed {
+                next: self.with_item_confirmed(&key),
+                reply: CommandReply::Done,
+            };
+        }
+        let version = known.map_or(1, |item| item.version + 1);
+        let mut next = self.snapshot.clone();
         next.merge(Item {
-            proposal_number,
-            ..item
+            key,
+            version,
+            proposal_number: self.proposal_number,
+            body: evacuated.then(|| b"true".to_vec()),
         });
+        Outcome::Applied(next)
     }
-    match validate(&next, change) {
-        Ok(()) => Outcome::changed(next),
-        Err(error) => Outcome::unchanged(error.into()),
+
+    /// Returns the configuration with the present content of one item written again, under the number of this command.
+    fn with_item_confirmed(&self, key: &ItemKey) -> ConfigSnapshot {
+        let mut next = self.snapshot.clone();
+        let item = next.get(key).cloned();
+        let item = item.unwrap_or_else(|| Item::unset(key.clone(), self.proposal_number));
+        next.insert(Item {
+            proposal_number: self.proposal_number,
+            ..item
+        });
+        next
     }
 }
 
@@ -170,40 +260,3 @@
     }
     Ok(())
 }
-
-/// Returns whether an item's version is already used for different content, in force or in the same change. An item of
-/// a lower version than the one in force is superseded and passes, because the content of that version is no longer
-/// known.
-fn reuses_version(snapshot: &ConfigSnapshot, change: &ConfigChange, item: &Item) -> bool {
-    let has_different_content = |other: &Item| {
-        other.key == item.key && other.version == item.version && other.body != item.body
-    };
-    let in_force = snapshot.get(&item.key);
-    in_force.is_some_and(has_different_content) || change.items.iter().any(has_different_content)
-}
-
-fn apply_evacuation(
-    snapshot: &ConfigSnapshot,
-    zone: &str,
-    evacuated: bool,
-    proposal_number: ProposalNumber,
-) -> Outcome {
-    let key = ItemKey {
-        kind: ItemKind::Evacuation,
-        name: zone.into(),
-    };
-    let known = snapshot.get(&key);
-    let is_evacuated = known.is_some_and(|item| !item.is_removed());
-    if is_evacuated == evacuated {
-        return Outcome::unchanged(CommandReply::Done);
-    }
-    let version = known.map_or(1, |item| item.version + 1);
-    let mut next = snapshot.clone();
-    next.merge(Item {
-        key,
-        version,
-        proposal_number,
-        body: evacuated.then(|| b"true".to_vec()),
-    });
-    Outcome::changed(next)
-}
--- a/crates/config-store/src/consensus/effect.rs
+++ b/crates/config-store/src/consensus/effect.rs
@@ -4,7 +4,7 @@
 
 use damsonbeam_control::address::Ip;
 use damsonbeam_control::config::Item;
-use damsonbeam_control::messages::{CommandReply, Message, encode};
+use damsonbeam_control::messages::{Command, CommandReply, Message, encode};
 
 use super::{DurableWrite, Event};
 
@@ -19,6 +19,8 @@
     Broadcast(Message),
     /// Reply to the command that the caller submitted under this number.
     Reply(u64, CommandReply),
+    /// Ask the registry whether the caller of this command still waits, and submit the command again if so.
+    Reconfirm(u64, Command),
     /// Send newly committed items to the registry.
     Committed(Vec<Item>),
     /// Write a line to the log.
@@ -33,6 +35,7 @@
             Effect::Send(to, message) => (to, encode(message)).hash(state),
             Effect::Broadcast(message) => encode(message).hash(state),
             Effect::Reply(number, reply) => (number, reply).hash(state),
+            Effect::Reconfirm(number, command) => (number, command).hash(state),
             Effect::Committed(items) => items.hash(state),
             Effect::Log(event) => event.hash(state),
         }
--- a/crates/config-store/src/consensus/event.rs
+++ b/crates/config-store/src/consensus/event.rs
@@ -50,6 +50,13 @@
         /// The changed items.
         items: Vec<Item>,
     },
+    /// A command is not applied, because an item of it was written after its caller was last known to wait.
+    CommandOutdated {
+        /// Where the command came from.
+        origin: CommandOrigin,
+        /// The items as they are now.
+        items: Vec<Item>,
+    },
     /// A command is rejected.
     CommandRejected {
         /// Where the command came from.
@@ -74,6 +81,13 @@
                     "applied a command of {origin}, received {age_ms} ms ago: {items}"
                 )
             }
+            Event::CommandOutdated { origin, items } => {
+                let items = describe_items(items);
+                write!(
+                    formatter,
+                    "did not apply a command of {origin}, because others wrote its items since: {items}"
+                )
+            }
             Event::CommandRejected { origin, reason } => {
                 write!(formatter, "rejected a command of {origin}: {reason}")
             }
--- a/crates/config-store/src/consensus/forwarding.rs
+++ b/crates/config-store/src/consensus/forwarding.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use damsonbeam_control::address::Ip;
+use damsonbeam_control::config::ProposalNumber;
 use damsonbeam_control::messages::{Command, CommandReply, Message};
 
 use super::command::{PendingCommand, Requester};
@@ -11,15 +12,45 @@
     COMMAND_TIMEOUT, EVACUATION_TIMEOUT, FORWARD_ACK_TIMEOUT, FORWARD_TIMEOUT,
     FORWARDING_SUSPENSION,
 };
-use super::{Effect, Replica};
+use super::{Effect, Event, Replica};
 
 /// How many numbers of forwarded commands are kept per sending replica, to detect duplicates.
 const MAX_FORWARDS_SEEN: usize = 256;
 
+/// A command of the local registry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Submission {
+    /// The number of the command, chosen by the caller of the replica.
+    pub number: u64,
+    /// The command.
+    pub command: Command,
+    /// How long the operator has waited already.
+    pub waited: Duration,
+    /// [`Replica::newest_commit`] at a time before the operator was last known to wait. A replica that was stalled since
+    /// may know later commits, which the operator's next attempt may have met at another replica.
+    pub as_of: ProposalNumber,
+}
+
 impl Replica {
-    /// Submits a command of the local registry; `waited` is how long its caller has waited already. The reply is an
-    /// [`Effect::Reply`] with the same number.
-    pub fn submit(&mut self, number: u64, command: Command, waited: Duration, now: Duration) {
+    /// Submits a command whose caller is known to wait at this moment; see [`Replica::submit`].
+    pub fn submit_at_once(&mut self, number: u64, command: Command, now: Duration) {
+        let submission = Submission {
+            number,
+            command,
+            waited: Duration::ZERO,
+            as_of: self.newest_commit(),
+        };
+        self.submit(submission, now);
+    }
+
+    /// Submits a command of the local registry. The reply is an [`Effect::Reply`] with the same number.
+    pub fn submit(&mut self, submission: Submission, now: Duration) {
+        let Submission {
+            number,
+            command,
+            waited,
+            as_of,
+        } = submission;
         let is_evacuation = matches!(command, Command::Evacuate { .. });
         let timeout = if is_evacuation {
             EVACUATION_TIMEOUT
@@ -31,15 +62,16 @@
             command,
             received_at: now,
             expires_at: now + timeout.saturating_sub(waited),
-            was_forwarded: false,
+            as_of,
         };
         let may_forward = !is_evacuation && now >= self.forwarding_suspended_until;
         match self.first_voter().filter(|_| may_forward) {
             Some(first) => {
-                let message = Message::Forward {
+                let message = Message::ForwardCommand {
                     incarnation: self.incarnation,
                     number,
                     command: pending.command.clone(),
+                    as_of,
                 };
                 self.effects.push(Effect::Send(first, message));
                 self.forwarded
@@ -67,22 +99,41 @@
         let due: Vec<u64> = due.map(|(number, _)| *number).collect();
         for number in due {
             self.forwarding_suspended_until = now + FORWARDING_SUSPENSION;
-            let Some((mut pending, _)) = self.forwarded.remove(&number) else {
-                continue;
-            };
-            pending.was_forwarded = true;
-            self.pending.push_back(pending);
+            if let Some((pending, _)) = self.forwarded.remove(&number) {
+                self.pending.push_back(pending);
+            }
         }
     }
 
-    /// Dispatches the three messages by which commands are forwarded.
+    /// Dispatches the messages by which commands are forwarded.
     pub(super) fn receive_forwarding(&mut self, from: Ip, message: Message, now: Duration) {
         match message {
             Message::Forward {
+                incarnation,
+                number,
+                ..
+            } => self.return_forwarded(from, incarnation, number),
+            Message::ForwardCommand {
                 incarnation,
                 number,
                 command,
-            } => self.receive_forward(from, incarnation, number, command, now),
+                as_of,
+            } => {
+                let requester = Requester::Remote {
+                    ip: from,
+                    incarnation,
+                    number,
+                };
+                let pending = PendingCommand {
+                    requester,
+                    command,
+                    received_at: now,
+                    // The sender reclaims the command at this time.
+                    expires_at: now + FORWARD_TIMEOUT,
+                    as_of,
+                };
+                self.receive_forward(from, incarnation, number, pending, now);
+            }
             Message::ForwardAck {
                 incarnation,
                 number,
@@ -92,6 +143,14 @@
                 number,
                 reply,
             } => self.receive_forwarded(incarnation, number, reply, now),
+            Message::ForwardOutdated {
+                incarnation,
+                number,
+                committed,
+            } => {
+                self.learn(committed);
+                self.receive_forwarded(incarnation, number, None, now);
+            }
             _ => {}
         }
     }
@@ -102,33 +161,16 @@
         from: Ip,
         incarnation: u64,
         number: u64,
-        command: Command,
+        pending: PendingCommand,
         now: Duration,
     ) {
         if !self.is_new_forward(from, incarnation, number) {
             return;
         }
         if !self.is_voter() || self.is_leaving {
-            let message = Message::ForwardReply {
-                incarnation,
-                number,
-                reply: None,
-            };
-            self.effects.push(Effect::Send(from, message));
-            return;
+            return self.return_forwarded(from, incarnation, number);
         }
-        self.pending.push_back(PendingCommand {
-            requester: Requester::Remote {
-                ip: from,
-                incarnation,
-                number,
-            },
-            command,
-            received_at: now,
-            // The sender reclaims the command at this time, and its caller may get another answer.
-            expires_at: now + FORWARD_TIMEOUT,
-            was_forwarded: false,
-        });
+        self.pending.push_back(pending);
         let message = Message::ForwardAck {
             incarnation,
             number,
@@ -137,8 +179,17 @@
         self.tick(now);
     }
 
-    /// Records a forwarded command and returns whether it is new. A duplicate must not be applied: the command may have
-    /// been answered already, and its caller may have been given another reply.
+    /// Tells the sender of a forwarded command that it is not executed here.
+    fn return_forwarded(&mut self, to: Ip, incarnation: u64, number: u64) {
+        let message = Message::ForwardReply {
+            incarnation,
+            number,
+            reply: None,
+        };
+        self.effects.push(Effect::Send(to, message));
+    }
+
+    /// Records a forwarded command and returns whether it is new; a duplicate need not be applied.
     fn is_new_forward(&mut self, from: Ip, incarnation: u64, number: u64) -> bool {
         let seen = self.forwards_seen.entry(from).or_default();
         if seen.incarnation != incarnation {
@@ -161,7 +212,8 @@
         }
     }
 
-    /// Handles the reply to a forwarded command; `None` means that the other replica can't apply the command.
+    /// Handles the reply to a forwarded command; `None` means that the other replica did not apply the command and will
+    /// not do so.
     fn receive_forwarded(
         &mut self,
         incarnation: u64,
@@ -177,10 +229,42 @@
         };
         match reply {
             Some(reply) => self.answer(pending.requester, reply),
+            None if !pending
+                .items_written_since(&self.durable.committed)
+                .is_empty() =>
+            {
+                self.answer_outdated(pending);
+            }
             None => {
                 self.pending.push_back(pending);
                 self.tick(now);
             }
         }
     }
+
+    /// Ends a command that is not applied because items of it were written after its caller was last known to wait: the
+    /// caller is asked again.
+    pub(super) fn answer_outdated(&mut self, pending: PendingCommand) {
+        let committed = pending.items_written_since(&self.durable.committed);
+        self.effects.push(Effect::Log(Event::CommandOutdated {
+            origin: pending.requester.into(),
+            items: committed.clone(),
+        }));
+        let effect = match pending.requester {
+            Requester::Local { number } => Effect::Reconfirm(number, pending.command),
+            Requester::Remote {
+                ip,
+                incarnation,
+                number,
+            } => {
+                let message = Message::ForwardOutdated {
+                    incarnation,
+                    number,
+                    committed,
+                };
+                Effect::Send(ip, message)
+            }
+        };
+        self.effects.push(effect);
+    }
 }
--- a/crates/config-store/src/consensus/mod.rs
+++ b/crates/config-store/src/consensus/mod.rs
@@ -62,4 +62,5 @@
 pub use durable::{DurableState, DurableWrite};
 pub use effect::Effect;
 pub use event::{CommandOrigin, Event, describe_items};
+pub use forwarding::Submission;
 pub use replica::Replica;
--- a/crates/config-store/src/consensus/proposer.rs
+++ b/crates/config-store/src/consensus/proposer.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::command::{
-    Outcome, PendingCommand, Requester, apply, revert_conflicting_items, uncommitted,
+    CommandApplier, Outcome, PendingCommand, Requester, revert_conflicting_items, uncommitted,
 };
 use super::round::{AfterCommit, Phase, Round};
 use super::timing::{
@@ -272,49 +272,62 @@
         self.propose(vec![item], AfterCommit::NewEpoch, now);
     }
 
+    /// Applies the commands of the round, each to the configuration that the previous ones leave.
     fn apply_commands(&mut self, now: Duration) {
-        let Some(round) = &self.round else { return };
+        let Some(round) = &mut self.round else { return };
+        let commands = std::mem::take(&mut round.commands);
+        let proposal_number = round.proposal_number;
         let mut snapshot = self.durable.committed.clone();
         let mut replies = Vec::new();
-        for pending in &round.commands {
-            let is_evacuation = matches!(pending.command, Command::Evacuate { .. });
-            if is_evacuation && now >= pending.expires_at {
+        let mut outdated = Vec::new();
+        for pending in &commands {
+            if is_expired_evacuation(pending, now) {
                 let reply =
                     CommandReply::Unavailable("the command expired before it was applied".into());
                 replies.push((pending.requester, reply));
                 continue;
             }
-            let outcome = apply(&snapshot, &pending.command, round.proposal_number);
+            let applier = CommandApplier {
+                snapshot: &snapshot,
+                proposal_number,
+            };
+            let outcome = applier.apply(pending);
             if let Some(event) = describe_outcome(pending, &outcome, &snapshot, now) {
                 self.effects.push(Effect::Log(event));
             }
-            snapshot = outcome.next.unwrap_or(snapshot);
-            let reply = match outcome.reply {
-                // The replica that received the forwarded command may still find it valid.
-                CommandReply::Invalid(reason) if pending.was_forwarded => {
-                    CommandReply::Unavailable(reason)
+            match outcome {
+                Outcome::Applied(next) => {
+                    snapshot = next;
+                    replies.push((pending.requester, CommandReply::Done));
                 }
-                reply => reply,
-            };
-            replies.push((pending.requester, reply));
-        }
-        for (_, reply) in &mut replies {
-            if let CommandReply::Config(items) = reply {
-                let all = snapshot.items().values();
-                let all = all.filter(|item| !item.key.kind.is_internal());
-                *items = all.cloned().collect();
+                Outcome::Confirmed { next, reply } => {
+                    snapshot = next;
+                    replies.push((pending.requester, reply));
+                }
+                Outcome::Unchanged(reply) => replies.push((pending.requester, reply)),
+                Outcome::Outdated => outdated.push(pending.clone()),
             }
         }
+        add_items_in_force(&mut replies, &snapshot);
         let new = uncommitted(&snapshot, &self.durable.committed);
         let new: Vec<Item> = new.cloned().collect();
+        if let Some(round) = &mut self.round {
+            // If the round is abandoned, its commands are applied again in a later one.
+            round.commands = commands;
+        }
         if new.is_empty() {
-            self.finish_round(replies);
+            self.finish_round(replies, outdated);
         } else {
-            self.propose(new, AfterCommit::Reply(replies), now);
+            self.propose(new, AfterCommit::Reply { replies, outdated }, now);
         }
     }
 
-    fn finish_round(&mut self, replies: Vec<(Requester, CommandReply)>) {
+    /// Ends the round and answers its commands.
+    fn finish_round(
+        &mut self,
+        replies: Vec<(Requester, CommandReply)>,
+        outdated: Vec<PendingCommand>,
+    ) {
         self.round = None;
         self.conflicts = 0;
         // Items still uncommitted after a round conflict with committed ones. Restart the timeout, so that they are
@@ -323,6 +336,9 @@
         for (requester, reply) in replies {
             self.answer(requester, reply);
         }
+        for pending in outdated {
+            self.answer_outdated(pending);
+        }
     }
 
     fn propose(&mut self, items: Vec<Item>, after_commit: AfterCommit, now: Duration) {
@@ -383,12 +399,28 @@
         match after_commit {
             AfterCommit::ContinueAfterRecovery => self.continue_after_recovery(now),
             AfterCommit::NewEpoch => self.requeue_round(),
-            AfterCommit::Reply(replies) => self.finish_round(replies),
+            AfterCommit::Reply { replies, outdated } => self.finish_round(replies, outdated),
+        }
+    }
+}
+
+/// Returns whether the command is an evacuation that must no longer be applied.
+fn is_expired_evacuation(pending: &PendingCommand, now: Duration) -> bool {
+    matches!(pending.command, Command::Evacuate { .. }) && now >= pending.expires_at
+}
+
+/// Adds the items in force to the replies to reads.
+fn add_items_in_force(replies: &mut [(Requester, CommandReply)], snapshot: &ConfigSnapshot) {
+    for (_, reply) in replies {
+        if let CommandReply::Config(items) = reply {
+            let all = snapshot.items().values();
+            let all = all.filter(|item| !item.key.kind.is_internal() && !item.is_unset());
+            *items = all.cloned().collect();
         }
     }
 }
 
-/// Returns the event for the outcome of a command; `None` if the command changes nothing and is not rejected.
+/// Returns the event for the outcome of a command, unless the command changes nothing and is not rejected.
 fn describe_outcome(
     pending: &PendingCommand,
     outcome: &Outcome,
@@ -396,14 +428,19 @@
     now: Duration,
 ) -> Option<Event> {
     let origin = pending.requester.into();
-    if let CommandReply::Invalid(reason) = &outcome.reply {
-        let reason = reason.clone();
-        return Some(Event::CommandRejected { origin, reason });
+    match outcome {
+        Outcome::Applied(next) => Some(Event::CommandApplied {
+            origin,
+            age: now.saturating_sub(pending.received_at),
+            items: uncommitted(next, before).cloned().collect(),
+        }),
+        Outcome::Confirmed { reply, .. } | Outcome::Unchanged(reply) => match reply {
+            CommandReply::Invalid(reason) => Some(Event::CommandRejected {
+                origin,
+                reason: reason.clone(),
+            }),
+            _ => None,
+        },
+        Outcome::Outdated => None,
     }
-    let next = outcome.next.as_ref()?;
-    Some(Event::CommandApplied {
-        origin,
-        age: now.saturating_sub(pending.received_at),
-        items: uncommitted(next, before).cloned().collect(),
-    })
 }
--- a/crates/config-store/src/consensus/replica.rs
+++ b/crates/config-store/src/consensus/replica.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use damsonbeam_control::address::Ip;
-use damsonbeam_control::config::Item;
+use damsonbeam_control::config::{Item, ProposalNumber};
 use damsonbeam_control::messages::{CommandReply, Message};
 
 use super::acceptor::Proposal;
@@ -49,6 +49,8 @@
     pub(super) candidates: BTreeMap<Voter, Duration>,
     /// Whether the replica is shutting down.
     pub(super) is_leaving: bool,
+    /// The highest proposal number of any committed item known here.
+    pub(super) newest_commit: ProposalNumber,
     /// The highest round in any proposal number seen.
     pub(super) highest_round: u64,
     pub(super) round: Option<Round>,
@@ -74,7 +76,10 @@
 impl Replica {
     /// Creates a replica from its durable state; `seed` must be random.
     pub fn new(own_ip: Ip, durable: DurableState, seed: u64, now: Duration) -> Self {
+        let committed = durable.committed.items().values();
+        let newest_commit = committed.map(|item| item.proposal_number).max();
         Replica {
+            newest_commit: newest_commit.unwrap_or_default(),
             own_ip,
             incarnation: seed,
             highest_round: durable.promised.round,
@@ -107,6 +112,12 @@
         &self.durable
     }
 
+    /// Returns the highest proposal number of any committed item known here. Whatever is committed by a round that starts
+    /// later has a higher number.
+    pub fn newest_commit(&self) -> ProposalNumber {
+        self.newest_commit
+    }
+
     /// Returns the effects of all calls since the last call of this method.
     pub fn take_effects(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.effects)
@@ -244,7 +255,11 @@
             *last_seen = now;
         }
         match message {
-            Message::Forward { .. } | Message::ForwardAck { .. } | Message::ForwardReply { .. } => {
+            Message::Forward { .. }
+            | Message::ForwardCommand { .. }
+            | Message::ForwardOutdated { .. }
+            | Message::ForwardAck { .. }
+            | Message::ForwardReply { .. } => {
                 self.receive_forwarding(from, message, now);
             }
             Message::Prepare {
--- a/crates/config-store/src/consensus/round.rs
+++ b/crates/config-store/src/consensus/round.rs
@@ -17,7 +17,11 @@
     /// Another voter set is in force: end the round, whose promises don't count in the new epoch.
     NewEpoch,
     /// The commands are applied: send their replies.
-    Reply(Vec<(Requester, CommandReply)>),
+    Reply {
+        replies: Vec<(Requester, CommandReply)>,
+        /// Commands that were not applied, because their callers may no longer wait.
+        outdated: Vec<PendingCommand>,
+    },
 }
 
 /// The phase of a round.
--- a/crates/config-store/src/process/effects.rs
+++ b/crates/config-store/src/process/effects.rs
@@ -36,6 +36,11 @@
                         self.reply(source, reply);
                     }
                 }
+                Effect::Reconfirm(number, command) => {
+                    if let Some(source) = self.commands.remove(&number) {
+                        self.request_confirmation(source, command);
+                    }
+                }
                 Effect::Log(event) => log::info!("store: {event}."),
                 Effect::Committed(items) => {
                     log::info!("store: committed {}.", describe_items(&items));
--- a/crates/config-store/src/process/store.rs
+++ b/crates/config-store/src/process/store.rs
@@ -5,20 +5,22 @@
 use std::time::Duration;
 
 use damsonbeam_control::address::{Ip, ip_strings};
-use damsonbeam_control::config::Item;
+use damsonbeam_control::config::{Item, ProposalNumber};
 use damsonbeam_control::link::MessageSender;
 use damsonbeam_control::messages::{BackendList, Command, CommandReply, Message};
 use tokio::time::Instant;
 
 use super::SHUTDOWN_TIMEOUT;
 use super::links::{LinkEvent, LinkId};
-use crate::consensus::Replica;
 use crate::consensus::voters::VoterSet;
+use crate::consensus::{Replica, Submission};
 use crate::disk::{Disk, DiskError, Roster};
 
 /// How long a command waits for its registry's confirmation. After that it is dropped, because its caller no longer
 /// waits.
 const CONFIRM_TIMEOUT: Duration = Duration::from_secs(5);
+/// A caller that waited this long may have turned to another machine without a sign of it here. Callers wait for a second.
+const CALLER_PATIENCE: Duration = Duration::from_millis(900);
 /// The reply to a command while the disk fails.
 pub(super) const DISK_UNAVAILABLE: &str = "the disk cannot be written";
 
@@ -39,6 +41,8 @@
 struct UnconfirmedCommand {
     command: Command,
     asked_at: Duration,
+    /// The newest commit known when the registry was asked.
+    as_of: ProposalNumber,
 }
 
 /// The state of a store process.
@@ -221,21 +225,30 @@
             Command::Evacuate { .. } | Command::Change(_) => {
                 self.request_confirmation(source, command);
             }
-            Command::Read => self.submit(source, command, Duration::ZERO),
+            Command::Read => {
+                let number = self.start_command(source);
+                let now = self.now();
+                self.replica.submit_at_once(number, command, now);
+                self.execute_effects(None);
+            }
         }
     }
 
     /// Asks the registry whether the caller of a command still waits. A command that was queued while this process or the
     /// registry was stalled must not be applied: its caller has turned to another machine, where a change may have been
     /// refused, and a newer evacuation may have been ordered.
-    fn request_confirmation(&mut self, source: CommandSource, command: Command) {
+    pub(super) fn request_confirmation(&mut self, source: CommandSource, command: Command) {
         let asked_at = self.now();
         let is_recent =
             |unconfirmed: &UnconfirmedCommand| asked_at < unconfirmed.asked_at + CONFIRM_TIMEOUT;
         self.unconfirmed
             .retain(|_, unconfirmed| is_recent(unconfirmed));
-        self.unconfirmed
-            .insert(source, UnconfirmedCommand { command, asked_at });
+        let unconfirmed = UnconfirmedCommand {
+            command,
+            asked_at,
+            as_of: self.replica.newest_commit(),
+        };
+        self.unconfirmed.insert(source, unconfirmed);
         let number = source.number;
         self.send_to_accepted(source.link, &Message::ConfirmSubmit { number });
     }
@@ -247,14 +260,31 @@
         // `waited` is how long the caller had waited when the registry answered, which was after `asked_at`. Adding the
         // whole time since `asked_at` overestimates the wait, which is safe.
         let since_asked = self.now().saturating_sub(unconfirmed.asked_at);
-        self.submit(source, unconfirmed.command, waited + since_asked);
+        if waited >= CALLER_PATIENCE {
+            let reason = "the caller may have turned to another machine".into();
+            self.reply(source, CommandReply::Unavailable(reason));
+            return;
+        }
+        let number = self.start_command(source);
+        let UnconfirmedCommand { command, as_of, .. } = unconfirmed;
+        self.submit(Submission {
+            number,
+            command,
+            waited: waited + since_asked,
+            as_of,
+        });
     }
 
-    fn submit(&mut self, source: CommandSource, command: Command, waited: Duration) {
+    /// Records a command as under way and returns its number.
+    fn start_command(&mut self, source: CommandSource) -> u64 {
         self.last_command += 1;
         self.commands.insert(self.last_command, source);
+        self.last_command
+    }
+
+    fn submit(&mut self, submission: Submission) {
         let now = self.now();
-        self.replica.submit(self.last_command, command, waited, now);
+        self.replica.submit(submission, now);
         self.execute_effects(None);
     }
 
@@ -329,7 +359,8 @@
     }
 }
 
-/// Returns the items sent to registries and proxies: all except the store's internal ones.
+/// Returns the items sent to registries and proxies: all except the store's internal ones, and those that are not set.
 pub(super) fn configuration_items(items: impl Iterator<Item = Item>) -> Vec<Item> {
-    items.filter(|item| !item.key.kind.is_internal()).collect()
+    let items = items.filter(|item| !item.key.kind.is_internal() && !item.is_unset());
+    items.collect()
 }
--- a/crates/control/src/config/change.rs
+++ b/crates/control/src/config/change.rs
@@ -1,5 +1,7 @@
 //! Configuration changes, parsed from the JSON body of an operator's call.
 
+use std::collections::BTreeMap;
+
 use bitcode::{Decode, Encode};
 use simd_json::prelude::*;
 
@@ -47,6 +49,26 @@
         Self::from_lists(body, &MIRROR_LISTS)
     }
 
+    /// Checks each item by itself. The result does not depend on the configuration in force, so it is the same at every
+    /// store and at any time.
+    ///
+    /// # Errors
+    /// Returns an error for the first item that is invalid, or that has two contents under one version.
+    pub fn validate_items(&self) -> Result<(), InvalidConfig> {
+        for item in self.items.iter().filter(|item| !item.is_removed()) {
+            item.validate()?;
+        }
+        let mut contents: BTreeMap<(&ItemKey, u64), &Item> = BTreeMap::new();
+        for item in &self.items {
+            let first = *contents.entry((&item.key, item.version)).or_insert(item);
+            if first.body != item.body {
+                let reason = format!("r{} is in the call with two contents", item.version);
+                return Err(InvalidConfig::item(&item.key.name, reason));
+            }
+        }
+        Ok(())
+    }
+
     fn from_lists(body: Vec<u8>, lists: &[NamedList]) -> Result<Self, InvalidConfig> {
         let body = parse(body).map_err(|e| InvalidConfig::malformed(e.to_string()))?;
         if !body.is_object() {
--- a/crates/control/src/config/item.rs
+++ b/crates/control/src/config/item.rs
@@ -75,6 +75,22 @@
         self.body.is_none()
     }
 
+    /// Returns an item that records that none of its versions has been committed. The store writes it to supersede
+    /// earlier proposals for an item that does not exist.
+    pub fn unset(key: ItemKey, proposal_number: ProposalNumber) -> Self {
+        Item {
+            key,
+            version: 0,
+            proposal_number,
+            body: None,
+        }
+    }
+
+    /// Returns whether no version of the item has been committed; see [`Item::unset`].
+    pub fn is_unset(&self) -> bool {
+        self.version == 0 && self.is_removed()
+    }
+
     /// Returns the approximate size of the encoded item, in bytes.
     pub fn wire_bytes(&self) -> usize {
         const VERSION_AND_PROPOSAL_NUMBER: usize = 32;
--- a/crates/control/src/config/snapshot.rs
+++ b/crates/control/src/config/snapshot.rs
@@ -91,11 +91,9 @@
     /// Returns the items of a change whose version is above the known one; other items would have no effect.
     pub fn effective_items(&self, change: &ConfigChange) -> Vec<Item> {
         let mut effective = ConfigSnapshot::default();
-        for item in &change.items {
-            if self
-                .get(&item.key)
-                .is_none_or(|known| known.version < item.version)
-            {
+        for item in change.items.iter().filter(|item| !item.is_unset()) {
+            let known = self.get(&item.key).filter(|known| !known.is_unset());
+            if known.is_none_or(|known| known.version < item.version) {
                 effective.merge(item.clone());
             }
         }
--- a/crates/control/src/config/validation.rs
+++ b/crates/control/src/config/validation.rs
@@ -9,13 +9,39 @@
     Tenant,
 };
 
+impl Item {
+    /// Checks the item by itself; it must not be removed.
+    pub(super) fn validate(&self) -> Result<(), InvalidConfig> {
+        match self.key.kind {
+            ItemKind::Route => Route::try_from(self).map(drop),
+            ItemKind::Tenant => Tenant::try_from(self).map(drop),
+            ItemKind::Service => validate_service(self),
+            ItemKind::Limits => ConnectionLimits::try_from(self).map(drop),
+            ItemKind::MirrorRule => MirrorRule::try_from(self).map(drop),
+            ItemKind::Evacuation | ItemKind::Voters => Ok(()),
+        }
+    }
+}
+
+fn validate_service(item: &Item) -> Result<(), InvalidConfig> {
+    let value = item.json()?;
+    if value.get("health_path").is_some_and(|path| !path.is_str()) {
+        return Err(InvalidConfig::item(
+            &item.key.name,
+            "health_path: not a string",
+        ));
+    }
+    Ok(())
+}
+
 impl ConfigSnapshot {
     /// Checks whether all items together are a valid configuration, apart from mirror rules.
     ///
     /// # Errors
     /// Returns an error for the first item that is invalid or conflicts with another.
     pub fn validate(&self) -> Result<(), InvalidConfig> {
-        self.validate_services()?;
+        self.present_items(ItemKind::Service)
+            .try_for_each(validate_service)?;
         self.validate_routes()?;
         self.validate_tenants()?;
         for item in self.present_items(ItemKind::Limits) {
@@ -24,19 +50,6 @@
         Ok(())
     }
 
-    fn validate_services(&self) -> Result<(), InvalidConfig> {
-        for item in self.present_items(ItemKind::Service) {
-            let value = item.json()?;
-            if value.get("health_path").is_some_and(|path| !path.is_str()) {
-                return Err(InvalidConfig::item(
-                    &item.key.name,
-                    "health_path: not a string",
-                ));
-            }
-        }
-        Ok(())
-    }
-
     /// Checks that the services of each route exist and that no two routes have the same host and prefix.
     fn validate_routes(&self) -> Result<(), InvalidConfig> {
         let mut names_by_prefix: BTreeMap<(String, String), &str> = BTreeMap::new();
--- a/crates/control/src/messages/message.rs
+++ b/crates/control/src/messages/message.rs
@@ -139,7 +139,7 @@
     LastKnownBackends(BackendList),
 
     // Between stores.
-    /// A command forwarded to the replica that executes the commands of several replicas.
+    /// A command forwarded by a store of an earlier version, which is not executed; see `ForwardCommand`.
     Forward {
         /// The sender's incarnation, a random number chosen when the sender starts. Incarnation and number together
         /// identify the command.
@@ -151,18 +151,18 @@
     },
     /// The reply to a forwarded command.
     ForwardReply {
-        /// The incarnation in the `Forward` message.
+        /// The incarnation in the `ForwardCommand` message.
         incarnation: u64,
-        /// The number in the `Forward` message.
+        /// The number in the `ForwardCommand` message.
         number: u64,
         /// The reply; `None` if the receiver of the command cannot execute it.
         reply: Option<CommandReply>,
     },
     /// Acknowledges a forwarded command, which is queued for execution.
     ForwardAck {
-        /// The incarnation in the `Forward` message.
+        /// The incarnation in the `ForwardCommand` message.
         incarnation: u64,
-        /// The number in the `Forward` message.
+        /// The number in the `ForwardCommand` message.
         number: u64,
     },
     /// A proposer requests a promise. The proposal number belongs to one round of one proposer in one epoch, and is
@@ -278,4 +278,27 @@
     },
     /// From a proxy, to all registries: the proxy shuts down and admits no more requests.
     ProxyShutdown,
+
+    // Between stores.
+    /// A command forwarded to the replica that executes the commands of several replicas. Replaces `Forward`.
+    ForwardCommand {
+        /// The sender's incarnation, a random number chosen when the sender starts. Incarnation and number together
+        /// identify the command.
+        incarnation: u64,
+        /// The number of the command in this incarnation.
+        number: u64,
+        /// The command.
+        command: Command,
+        /// The newest commit that the sender knew before the caller of the command was asked whether it still waits.
+        as_of: ProposalNumber,
+    },
+    /// A forwarded command is not executed, because items of it were written after its caller was last known to wait.
+    ForwardOutdated {
+        /// The incarnation in the `ForwardCommand` message.
+        incarnation: u64,
+        /// The number in the `ForwardCommand` message.
+        number: u64,
+        /// The command's items as they are committed now.
+        committed: Vec<Item>,
+    },
 }
--- a/crates/control/tests/wire_format.rs
+++ b/crates/control/tests/wire_format.rs
@@ -340,6 +340,22 @@
     ]
 }
 
+fn forwarding_messages() -> Vec<Message> {
+    vec![
+        Message::ForwardCommand {
+            incarnation: 1,
+            number: 2,
+            command: Command::Change(ConfigChange { items: items() }),
+            as_of: proposal_number(7),
+        },
+        Message::ForwardOutdated {
+            incarnation: 1,
+            number: 2,
+            committed: items(),
+        },
+    ]
+}
+
 fn datagrams() -> Vec<Datagram> {
     let updates =
         [MemberState::Alive, MemberState::Suspect, MemberState::Dead].map(|state| MemberUpdate {
@@ -419,6 +435,12 @@
     assert_messages("allotment", &allotment_messages());
 }
 
+/// The bytes were recorded when these messages were appended to `Message`.
+#[test]
+fn forwarding_messages_encode_to_the_recorded_bytes() {
+    assert_messages("forwarding", &forwarding_messages());
+}
+
 #[test]
 fn datagrams_encode_to_the_recorded_bytes() {
     let recorded = recorded_lines("datagram");
--- a/crates/ctl/tests/system/stalled.rs
+++ b/crates/ctl/tests/system/stalled.rs
@@ -86,3 +86,29 @@
         assert!(!text.contains("\"r-new\""), "{stalled_programs:?}: {text}");
     }
 }
+
+/// Guards against CONFIG (`review/4`): a store forwards a change to a stalled machine, takes it back and refuses it. Then
+/// what it clashed with is removed. The resumed machine must not carry out its copy.
+#[test]
+fn change_that_was_forwarded_to_a_stalled_machine_and_refused_is_not_carried_out() {
+    let mut cluster = Cluster::new(core_only_plan(&["a", "b", "c"]), &[]);
+    cluster.start_configured();
+    cluster.wait_until_in_sync();
+    let change = set_route("r-new", "/x/", 2);
+    // Machine 0 has the first voter.
+    for program in [REGISTRY, STORE] {
+        cluster.signal_program(0, program, "-STOP");
+    }
+    let address = cluster.control_address(1);
+    cluster.wait_until("the change is refused", |_| {
+        matches!(try_change(address, &change), Outcome::Rejected(_))
+    });
+    cluster.change_at(2, &remove_route("r-1", 2));
+    for program in [REGISTRY, STORE] {
+        cluster.signal_program(0, program, "-CONT");
+    }
+    cluster.run_for(OBSERVATION_TIME);
+    let text = cluster.read_at(1);
+    assert!(!text.contains("\"r-new\""), "{text}");
+    cluster.change_at(1, &change);
+}
