Store: the items of a call are recovered together, or not at all

Cause: items that a minority had accepted were recovered one by one, and a refusal left an accepted copy as good as before. Where two calls had a conflict, the oldest item was reverted, whichever it was. Evidence: the log of the last store, reverted desk-1-moving, recovered desk-1-a and desk-1-b, 0.13 s after the refusal. Change: the items of a call have a proposal number of their own (the round's, with the call's number in its low bits; nothing stored or sent changes its form). A round proposes all of them again or reverts all, and reverts only with a proof that the call was never committed; what it reverts is voided by a write. Acceptors keep no part of a superseded call, and repairs carry committed items alone. validate() is built on a list of conflicts with both items. The worlds send calls again as operators do, order evacuations, and fail where they only counted.

--- a/crates/config-store/src/consensus/acceptor.rs
+++ b/crates/config-store/src/consensus/acceptor.rs
@@ -1,10 +1,14 @@
 //! The acceptor: promises proposal numbers, accepts proposals and learns committed items. Only this module changes the
 //! durable state and the voter set in force.
 
+use std::collections::BTreeSet;
+
 use damsonbeam_control::address::Ip;
-use damsonbeam_control::config::{ConfigSnapshot, Item, ItemKind, ProposalNumber};
+use damsonbeam_control::config::{ConfigSnapshot, Item, ItemKey, ItemKind, ProposalNumber};
 use damsonbeam_control::messages::{AcceptAnswer, Message, ReplicaItems, StateDigest};
 
+use super::command::uncommitted;
+use super::recovery::superseded_call;
 use super::voters::VoterSet;
 use super::{DurableWrite, Effect, Replica};
 
@@ -128,18 +132,43 @@
             .push(Effect::Persist(DurableWrite::Promised(number)));
     }
 
+    /// Accepts items. Of a call that one of them supersedes, this replica keeps no other item either.
     pub(super) fn accept(&mut self, items: Vec<Item>) {
+        let known = items.iter().filter_map(|item| {
+            let known = self.durable.accepted.get(&item.key)?;
+            superseded_call(known, item)
+        });
+        let superseded_calls: BTreeSet<ProposalNumber> = known.collect();
         let new = merge_new(&mut self.durable.accepted, items);
         if !new.is_empty() {
             self.effects
                 .push(Effect::Persist(DurableWrite::Accepted(new)));
         }
+        if !superseded_calls.is_empty() {
+            self.revert_accepted(&superseded_calls);
+        }
+    }
+
+    /// Reverts the accepted items of calls that were never committed to what is committed.
+    fn revert_accepted(&mut self, calls: &BTreeSet<ProposalNumber>) {
+        let items = uncommitted(&self.durable.accepted, &self.durable.committed);
+        let items = items.filter(|item| calls.contains(&item.proposal_number));
+        let keys: Vec<ItemKey> = items.map(|item| item.key.clone()).collect();
+        if !keys.is_empty() {
+            let write = DurableWrite::Reverted(keys);
+            self.durable.apply(&write);
+            self.effects.push(Effect::Persist(write));
+        }
     }
 
     /// Merges items that are known to be committed. This is safe at any time.
     pub(super) fn learn(&mut self, items: Vec<Item>) {
-        self.accept(items.clone());
-        let new = merge_new(&mut self.durable.committed, items);
+        let new = merge_new(&mut self.durable.committed, items.clone());
+        if !new.is_empty() {
+            let write = DurableWrite::Committed(new.clone());
+            self.effects.push(Effect::Persist(write));
+        }
+        self.accept(items);
         if new.is_empty() {
             return;
         }
@@ -148,8 +177,6 @@
         if new.iter().any(|item| item.key.kind == ItemKind::Voters) {
             self.voters = VoterSet::from_snapshot(&self.durable.committed);
         }
-        self.effects
-            .push(Effect::Persist(DurableWrite::Committed(new.clone())));
         self.effects.push(Effect::Committed(new));
     }
 }
--- a/crates/config-store/src/consensus/command.rs
+++ b/crates/config-store/src/consensus/command.rs
@@ -1,4 +1,4 @@
-//! Applies commands to the configuration, and drops uncommitted items that conflict with committed ones.
+//! Commands, and how they change the configuration.
 
 use std::time::Duration;
 
@@ -69,51 +69,6 @@
     items.filter(move |item| committed.get(&item.key) != Some(item))
 }
 
-/// Reverts uncommitted items until the snapshot is valid. Items of abandoned rounds may conflict with items committed
-/// since. Each pass reverts the item with the lowest proposal number whose removal alone makes the snapshot valid, or,
-/// if there is none, the item with the lowest number. Committed items never conflict with each other, because each
-/// proposal was validated against everything committed before it. Returns the reverted items.
-pub(super) fn revert_conflicting_items(
-    snapshot: &mut ConfigSnapshot,
-    committed: &ConfigSnapshot,
-) -> Vec<Item> {
-    let before = snapshot.clone();
-    while snapshot.validate().is_err() {
-        let uncommitted_items = uncommitted(snapshot, committed);
-        let uncommitted_items = uncommitted_items.filter(|item| !item.key.kind.is_internal());
-        let mut uncommitted_items: Vec<(ProposalNumber, ItemKey)> = uncommitted_items
-            .map(|item| (item.proposal_number, item.key.clone()))
-            .collect();
-        uncommitted_items.sort_unstable();
-        let Some((_, oldest)) = uncommitted_items.first() else {
-            break;
-        };
-        let candidates = uncommitted_items
-            .iter()
-            .map(|(_, key)| with_committed_item(snapshot, key, committed));
-        let mut valid_candidates = candidates.filter(|candidate| candidate.validate().is_ok());
-        let next = valid_candidates
-            .next()
-            .unwrap_or_else(|| with_committed_item(snapshot, oldest, committed));
-        *snapshot = next;
-    }
-    uncommitted(&before, snapshot).cloned().collect()
-}
-
-/// Returns the snapshot with one item reverted to its committed state.
-fn with_committed_item(
-    snapshot: &ConfigSnapshot,
-    key: &ItemKey,
-    committed: &ConfigSnapshot,
-) -> ConfigSnapshot {
-    let mut snapshot = snapshot.clone();
-    match committed.get(key) {
-        Some(item) => snapshot.insert(item.clone()),
-        None => snapshot.remove(key),
-    }
-    snapshot
-}
-
 /// The result of applying a command.
 pub(super) enum Outcome {
     /// The command changes the configuration to this one.
@@ -239,14 +194,17 @@
     }
 
     /// Returns the configuration with the present content of one item written again, under the number of this command.
+    /// An item written in this round has a number that is high enough, and keeps that of its own call.
     fn with_item_confirmed(&self, key: &ItemKey) -> ConfigSnapshot {
         let mut next = self.snapshot.clone();
         let item = next.get(key).cloned();
-        let item = item.unwrap_or_else(|| Item::unset(key.clone(), self.proposal_number));
-        next.insert(Item {
-            proposal_number: self.proposal_number,
-            ..item
-        });
+        let item = item.unwrap_or_else(|| Item::unset(key.clone(), ProposalNumber::default()));
+        if !item.proposal_number.is_of_same_round(self.proposal_number) {
+            next.insert(Item {
+                proposal_number: self.proposal_number,
+                ..item
+            });
+        }
         next
     }
 }
--- a/crates/config-store/src/consensus/durable.rs
+++ b/crates/config-store/src/consensus/durable.rs
@@ -1,7 +1,7 @@
 //! The durable state of a replica, which is synced to disk before any message that depends on it is sent.
 
 use damsonbeam_control::address::Ip;
-use damsonbeam_control::config::{ConfigSnapshot, Item, ProposalNumber};
+use damsonbeam_control::config::{ConfigSnapshot, Item, ItemKey, ProposalNumber};
 
 use super::voters::{INITIAL_DISK_ID, VoterSet};
 
@@ -29,6 +29,8 @@
     Accepted(Vec<Item>),
     /// Adds items known to be committed.
     Committed(Vec<Item>),
+    /// Replaces accepted items by the committed ones.
+    Reverted(Vec<ItemKey>),
 }
 
 impl DurableState {
@@ -39,6 +41,14 @@
             DurableWrite::Promised(number) => self.promised = *number,
             DurableWrite::Accepted(items) => merge_all(&mut self.accepted, items),
             DurableWrite::Committed(items) => merge_all(&mut self.committed, items),
+            DurableWrite::Reverted(keys) => keys.iter().for_each(|key| self.revert(key)),
+        }
+    }
+
+    fn revert(&mut self, key: &ItemKey) {
+        match self.committed.get(key) {
+            Some(item) => self.accepted.insert(item.clone()),
+            None => self.accepted.remove(key),
         }
     }
 
--- a/crates/config-store/src/consensus/mod.rs
+++ b/crates/config-store/src/consensus/mod.rs
@@ -8,6 +8,10 @@
 //! ordered individually, by version and, within one version, by proposal number. An item is committed once a majority
 //! has accepted it; only committed items are acknowledged and sent to the proxies.
 //!
+//! The items of one operator's call have a proposal number of their own within the round. They are accepted, recovered
+//! and superseded together (`recovery`). An answer that a late copy of its command could contradict is accompanied by a
+//! write that makes the copy ineffective (`command`).
+//!
 //! # Membership
 //!
 //! The voter set is itself an item ([`voters`]): its version is the epoch, and its body lists the voters, each
@@ -40,7 +44,8 @@
 //! # Modules
 //!
 //! Data: [`voters`], `durable` (state on disk), `effect` (actions for the caller), `event` (for the log), `command` (how a command changes the
-//! configuration), `round` (a proposer's round), `timing` (timeouts and intervals). Behaviour of the [`Replica`]:
+//! configuration), `recovery` (items that earlier rounds left uncommitted),
+//! `round` (a proposer's round), `timing` (timeouts and intervals). Behaviour of the [`Replica`]:
 //! `replica` (its state and entry points), `acceptor`, `proposer`, `forwarding`, `repair` and `presence`, which applies
 //! [`membership`].
 
@@ -53,6 +58,7 @@
 pub mod membership;
 mod presence;
 mod proposer;
+mod recovery;
 mod repair;
 mod replica;
 mod round;
--- a/crates/config-store/src/consensus/proposer.rs
+++ b/crates/config-store/src/consensus/proposer.rs
@@ -4,14 +4,13 @@
 use std::time::Duration;
 
 use damsonbeam_control::address::Ip;
-use damsonbeam_control::config::{ConfigSnapshot, Item, ItemKind, ProposalNumber};
+use damsonbeam_control::config::{ConfigSnapshot, Item, ProposalNumber};
 use damsonbeam_control::messages::{AcceptAnswer, Command, CommandReply, Message, ReplicaItems};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::command::{
-    CommandApplier, Outcome, PendingCommand, Requester, revert_conflicting_items, uncommitted,
-};
+use super::command::{CommandApplier, Outcome, PendingCommand, Requester, uncommitted};
+use super::recovery::{CollectedItems, Recovery};
 use super::round::{AfterCommit, Phase, Round};
 use super::timing::{
     BACKOFF_PER_CONFLICT, EXTRA_PROMISES_TIMEOUT, MAX_BACKOFF_CONFLICTS, PHASE_TIMEOUT,
@@ -34,22 +33,20 @@
             return;
         };
         self.highest_round += 1;
-        let proposal_number = ProposalNumber {
-            round: self.highest_round,
-            proposer: self.proposer_id(),
-        };
+        let proposal_number = ProposalNumber::of_round(self.highest_round, self.proposer_id());
         self.promise(proposal_number);
         self.round = Some(Round {
             proposal_number,
             voters: set,
             promised_by: BTreeSet::new(),
             step: 0,
+            call_count: 0,
             commands,
             awaits_more_promises: false,
             phase_deadline: now + PHASE_TIMEOUT,
             phase: Phase::Prepare {
                 promises: [self.identity()].into(),
-                collected_items: Box::new(self.durable.accepted.clone()),
+                collected_items: Box::new(CollectedItems::new(self.durable.accepted.clone())),
             },
         });
         let message = Message::Prepare {
@@ -129,7 +126,7 @@
             committed,
         } = items.unwrap_or_default();
         for item in accepted.into_iter().chain(committed.iter().cloned()) {
-            collected_items.merge_proposed(item);
+            collected_items.merge(item);
         }
         promises.insert(Voter { ip: from, disk_id });
         self.learn(committed);
@@ -227,30 +224,36 @@
         }
         round.awaits_more_promises = false;
         round.promised_by = promises.clone();
-        let mut snapshot = std::mem::take(&mut **collected_items);
-        let proposal_number = round.proposal_number;
+        let collected_items = std::mem::take(&mut **collected_items);
         let epoch = round.voters.epoch;
-        let reverted = revert_conflicting_items(&mut snapshot, &self.durable.committed);
-        if !reverted.is_empty() {
-            let event = Event::ItemsReverted(reverted);
-            self.effects.push(Effect::Log(event));
+        let recovery = collected_items.resolve(&self.durable.committed, epoch);
+        self.recover(recovery, now);
+    }
+
+    /// Proposes the items that earlier rounds left uncommitted.
+    fn recover(&mut self, recovery: Recovery, now: Duration) {
+        let Some(round) = &mut self.round else { return };
+        let confirmed = recovery.confirmed.into_iter().map(|item| vec![item]);
+        let mut items = Vec::new();
+        for call in recovery.calls.into_iter().chain(confirmed) {
+            let proposal_number = round.next_call_number();
+            items.extend(call.into_iter().map(|item| Item {
+                proposal_number,
+                ..item
+            }));
         }
-        let uncommitted_items = uncommitted(&snapshot, &self.durable.committed).map(|item| Item {
-            proposal_number,
-            ..item.clone()
-        });
-        // A later voter set is proposed last, once all other items are committed.
-        let is_later_set = |item: &Item| item.key.kind == ItemKind::Voters && item.version > epoch;
-        let (later_sets, uncommitted_items): (Vec<Item>, Vec<Item>) =
-            uncommitted_items.partition(is_later_set);
-        self.recovered_voters = later_sets.first().and_then(VoterSet::from_item);
-        if uncommitted_items.is_empty() {
-            self.continue_after_recovery(now);
-        } else {
-            let event = Event::ItemsRecovered(uncommitted_items.clone());
+        let later_voters = recovery.later_voters.as_ref();
+        self.recovered_voters = later_voters.and_then(VoterSet::from_item);
+        if !recovery.reverted.is_empty() {
+            let event = Event::ItemsReverted(recovery.reverted);
             self.effects.push(Effect::Log(event));
-            self.propose(uncommitted_items, AfterCommit::ContinueAfterRecovery, now);
         }
+        if items.is_empty() {
+            return self.continue_after_recovery(now);
+        }
+        let event = Event::ItemsRecovered(items.clone());
+        self.effects.push(Effect::Log(event));
+        self.propose(items, AfterCommit::ContinueAfterRecovery, now);
     }
 
     /// Proposes a change of the voter set if one is due, or applies the commands. All items that may have been
@@ -276,7 +279,6 @@
     fn apply_commands(&mut self, now: Duration) {
         let Some(round) = &mut self.round else { return };
         let commands = std::mem::take(&mut round.commands);
-        let proposal_number = round.proposal_number;
         let mut snapshot = self.durable.committed.clone();
         let mut replies = Vec::new();
         let mut outdated = Vec::new();
@@ -289,7 +291,7 @@
             }
             let applier = CommandApplier {
                 snapshot: &snapshot,
-                proposal_number,
+                proposal_number: round.next_call_number(),
             };
             let outcome = applier.apply(pending);
             if let Some(event) = describe_outcome(pending, &outcome, &snapshot, now) {
@@ -311,10 +313,8 @@
         add_items_in_force(&mut replies, &snapshot);
         let new = uncommitted(&snapshot, &self.durable.committed);
         let new: Vec<Item> = new.cloned().collect();
-        if let Some(round) = &mut self.round {
-            // If the round is abandoned, its commands are applied again in a later one.
-            round.commands = commands;
-        }
+        // If the round is abandoned, its commands are applied again in a later one.
+        round.commands = commands;
         if new.is_empty() {
             self.finish_round(replies, outdated);
         } else {
@@ -330,8 +330,6 @@
     ) {
         self.round = None;
         self.conflicts = 0;
-        // Items still uncommitted after a round conflict with committed ones. Restart the timeout, so that they are
-        // retried later and not immediately.
         self.uncommitted_since = None;
         for (requester, reply) in replies {
             self.answer(requester, reply);
--- a/crates/config-store/src/consensus/repair.rs
+++ b/crates/config-store/src/consensus/repair.rs
@@ -83,27 +83,17 @@
         }
     }
 
-    /// Handles items from a replica whose digests differ from the ones here.
-    pub(super) fn receive_repair(
-        &mut self,
-        items: Vec<Item>,
-        committed: Vec<Item>,
-        promised: ProposalNumber,
-    ) {
+    /// Handles committed items from a replica whose digests differ from the ones here.
+    pub(super) fn receive_repair(&mut self, committed: Vec<Item>, promised: ProposalNumber) {
         self.highest_round = self.highest_round.max(promised.round);
-        self.accept(items);
         self.learn(committed);
     }
 
-    /// Returns the message with the items of the shards that differ, which the other replica may lack.
+    /// Returns the message with the committed items of the shards that differ, which the other replica may lack.
+    /// Uncommitted items are left to the next round: a part of a call must not be accepted without the rest.
     fn repair_message(&self, digests: &StateGroupDigests) -> Message {
-        let mut items = self
-            .durable
-            .accepted
-            .items_differing_from(&digests.accepted);
-        items.retain(|item| self.durable.committed.get(&item.key) != Some(item));
         Message::RepairItems {
-            items,
+            items: Vec::new(),
             committed: self
                 .durable
                 .committed
--- a/crates/config-store/src/consensus/replica.rs
+++ b/crates/config-store/src/consensus/replica.rs
@@ -15,6 +15,9 @@
 use super::voters::{INITIAL_DISK_ID, Voter, VoterSet};
 use super::{DurableState, Effect};
 
+/// The maximum number of commands in one round, which numbers them in 16 bits.
+const MAX_COMMANDS_PER_ROUND: usize = 10_000;
+
 /// A forwarded command, and the time at which it is applied here instead.
 pub(super) type Forwarded = (PendingCommand, Duration);
 
@@ -232,7 +235,8 @@
         let may_propose = self.round.is_none() && self.is_voter() && now >= self.next_round_at;
         let has_work = || !self.pending.is_empty() || self.due_voter_set_change(now).is_some();
         if may_propose && (recovery_due || has_work()) {
-            let commands = self.pending.drain(..).collect();
+            let count = self.pending.len().min(MAX_COMMANDS_PER_ROUND);
+            let commands = self.pending.drain(..count).collect();
             self.start_round(commands, now);
         }
     }
@@ -320,10 +324,10 @@
                 self.receive_compare(from, digests, learner, now);
             }
             Message::RepairItems {
-                items,
                 committed,
                 promised,
-            } => self.receive_repair(items, committed, promised),
+                ..
+            } => self.receive_repair(committed, promised),
             _ => {}
         }
         self.drop_round_of_earlier_epoch();
--- a/crates/config-store/src/consensus/round.rs
+++ b/crates/config-store/src/consensus/round.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use damsonbeam_control::config::{ConfigSnapshot, Item, ProposalNumber};
+use damsonbeam_control::config::{Item, ProposalNumber};
 use damsonbeam_control::messages::CommandReply;
 
 use super::command::{PendingCommand, Requester};
+use super::recovery::CollectedItems;
 use super::voters::{Voter, VoterSet};
 
 /// The next action of a round once its current proposal is committed.
@@ -30,7 +31,7 @@
     /// Collecting promises, and the items accepted by the replicas that promised.
     Prepare {
         promises: BTreeSet<Voter>,
-        collected_items: Box<ConfigSnapshot>,
+        collected_items: Box<CollectedItems>,
     },
     /// Waiting for a majority to accept a proposal.
     Accept {
@@ -49,6 +50,8 @@
     pub(super) promised_by: BTreeSet<Voter>,
     /// The number of the current proposal within the round, so that an answer to an earlier proposal is not counted.
     pub(super) step: u32,
+    /// The number of calls proposed in the round, whose items each have a number of their own.
+    pub(super) call_count: u16,
     pub(super) commands: Vec<PendingCommand>,
     /// A majority has promised, and the round waits for the further promises that a change of the voter set needs.
     pub(super) awaits_more_promises: bool,
@@ -56,3 +59,11 @@
     pub(super) phase_deadline: Duration,
     pub(super) phase: Phase,
 }
+
+impl Round {
+    /// Returns the number for the items of the next call.
+    pub(super) fn next_call_number(&mut self) -> ProposalNumber {
+        self.call_count = self.call_count.saturating_add(1);
+        self.proposal_number.of_call(self.call_count)
+    }
+}
--- a/crates/config-store/src/disk.rs
+++ b/crates/config-store/src/disk.rs
@@ -241,6 +241,7 @@
                     DurableWrite::DiskId(id) => put(&mut meta, DISK_ID, id)?,
                     DurableWrite::Accepted(items) => put_items(&mut accepted, items)?,
                     DurableWrite::Committed(items) => put_items(&mut committed, items)?,
+                    DurableWrite::Reverted(keys) => revert_rows(&mut accepted, &committed, keys)?,
                 }
             }
         }
@@ -297,6 +298,23 @@
     Ok(())
 }
 
+/// Replaces the rows of accepted items by those of the committed items.
+fn revert_rows(
+    accepted: &mut Table<&'static [u8], &'static [u8]>,
+    committed: &Table<&'static [u8], &'static [u8]>,
+    keys: &[ItemKey],
+) -> Result<()> {
+    for key in keys {
+        let key = row_key(key);
+        match committed.get(&key[..]).map_err(database_error)? {
+            Some(row) => accepted.insert(&key[..], row.value()).map(drop),
+            None => accepted.remove(&key[..]).map(drop),
+        }
+        .map_err(database_error)?;
+    }
+    Ok(())
+}
+
 fn get<T: for<'a> bitcode::Decode<'a>>(
     meta: &impl ReadableTable<&'static str, &'static [u8]>,
     key: &str,
--- a/crates/config-store/tests/fault_simulation/main.rs
+++ b/crates/config-store/tests/fault_simulation/main.rs
@@ -2,11 +2,13 @@
 //! lost messages, one-way and two-way partitions, frozen and killed stores, a restart of the whole cluster, lost disks
 //! and replaced machines, within the number of losses that the voters tolerate. Operators submit conflicting writes.
 //!
-//! Invariants: acknowledged items persist, reads are monotonic, and after a period without faults all running replicas
+//! Invariants: acknowledged items persist, reads are monotonic, nothing that was refused is ever committed, an
+//! acknowledged evacuation stays until another one is ordered, and after a period without faults all running replicas
 //! have a vote and hold the same items.
 //!
 //! `WORLDS` sets the number of seeds, `FIRST` the first one; `WORLD` runs a single seed.
 
+mod callers;
 mod simulation;
 
 use damsonbeam_config_store::consensus::voters::{Voter, VoterSet};
@@ -52,7 +54,17 @@
     }
     items.dedup_by(|a, b| a.key == b.key);
     let n = random_machine(sim);
-    sim.submit(n, Command::Change(ConfigChange { items }));
+    sim.start_call(n, Command::Change(ConfigChange { items }));
+}
+
+/// Orders a random zone out of service or back, unless its operator still waits for an answer.
+fn order_random_evacuation(sim: &mut Simulation) {
+    let zone = format!("z{}", sim.rng.random_range(0..2));
+    let evacuated = sim.rng.random();
+    let n = random_machine(sim);
+    if !sim.callers.has_open_order(&zone) {
+        sim.start_call(n, Command::Evacuate { zone, evacuated });
+    }
 }
 
 /// Returns a random machine.
@@ -145,9 +157,17 @@
     }
 }
 
-/// Runs a simulation to its end. Returns the numbers of acknowledged writes, of reads, and of rejected items that were
-/// later in force.
-fn run_to_end(mut sim: Simulation) -> (usize, usize, usize) {
+/// What happened in a simulation, as numbers of commands.
+#[derive(Debug, Default)]
+struct Outcome {
+    acknowledged: usize,
+    refused: usize,
+    evacuations: usize,
+    reads: usize,
+}
+
+/// Runs a simulation to its end.
+fn run_to_end(mut sim: Simulation) -> Outcome {
     let (mut next_write, mut next_fault) = (2000, 4000);
     sim.duplication_probability = 0.02;
     while sim.now < SIMULATION_END {
@@ -162,6 +182,9 @@
         if sim.now < FAULT_PERIOD_END && sim.now >= next_write {
             next_write = sim.now + sim.rng.random_range(50..900);
             submit_random_write(&mut sim);
+            if sim.rng.random::<f64>() < 0.3 {
+                order_random_evacuation(&mut sim);
+            }
             if sim.rng.random::<f64>() < 0.3 {
                 let n = random_machine(&mut sim);
                 sim.submit(n, Command::Read);
@@ -184,11 +207,12 @@
         );
     }
     sim.check_convergence();
-    (
-        sim.acknowledged_changes,
-        sim.answered_reads,
-        sim.rejected_in_force.len(),
-    )
+    Outcome {
+        acknowledged: sim.acknowledged_changes,
+        refused: sim.callers.refused,
+        evacuations: sim.callers.evacuations,
+        reads: sim.answered_reads,
+    }
 }
 
 #[test]
@@ -199,7 +223,7 @@
         Some(seed) => vec![seed],
         None => (first..first + number("WORLDS").unwrap_or(60)).collect(),
     };
-    let (mut done, mut reads, mut rejected) = (0, 0, 0);
+    let mut total = Outcome::default();
     for seed in seeds {
         let size = [6, 9, 5][seed as usize % 3];
         let outcome = std::panic::catch_unwind(|| {
@@ -207,15 +231,18 @@
             submit_service(&mut sim);
             run_to_end(sim)
         });
-        let (d, r, f) = outcome
+        let outcome = outcome
             .unwrap_or_else(|_| panic!("seed {seed} failed; run it again with WORLD={seed}"));
-        (done, reads, rejected) = (done + d, reads + r, rejected + f);
+        total.acknowledged += outcome.acknowledged;
+        total.refused += outcome.refused;
+        total.evacuations += outcome.evacuations;
+        total.reads += outcome.reads;
     }
+    println!("{total:?}");
     assert!(
-        done > 0 && reads > 0,
-        "{done} writes were acknowledged and {reads} reads answered"
+        total.acknowledged > 0 && total.refused > 0 && total.evacuations > 0 && total.reads > 0,
+        "a kind of command was never answered: {total:?}"
     );
-    println!("{done} writes acknowledged, {reads} reads, {rejected} rejected items later in force");
 }
 
 /// Returns the initial disk of machine `n`, where the first three machines are the seeds.
--- a/crates/config-store/tests/fault_simulation/simulation.rs
+++ b/crates/config-store/tests/fault_simulation/simulation.rs
@@ -5,13 +5,15 @@
 use std::time::Duration;
 
 use damsonbeam_config_store::consensus::voters::{Voter, VoterSet};
-use damsonbeam_config_store::consensus::{DurableState, Effect, Replica};
+use damsonbeam_config_store::consensus::{DurableState, DurableWrite, Effect, Replica, Submission};
 use damsonbeam_control::address::Ip;
 use damsonbeam_control::config::{ConfigChange, ConfigSnapshot, Item, ItemKey, ItemKind};
 use damsonbeam_control::messages::{Command, CommandReply, Message};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use super::callers::Callers;
+
 /// The interval between two steps of the simulation.
 pub const TICK: u64 = 20;
 /// How long a registry considers a machine alive after the last contact.
@@ -42,6 +44,12 @@
     },
     /// The start of a store.
     Start(usize),
+    /// The submission of a command to a store, if the store has not been restarted since it asked for it.
+    Submit {
+        n: usize,
+        submission_index: usize,
+        starts: u64,
+    },
     /// A planned shutdown: the store leaves and ends once it can stop, at the latest at `deadline`. With `permanent`
     /// its machine is then removed.
     ShutDown {
@@ -62,17 +70,12 @@
     /// Whether the machine has been removed permanently.
     pub removed: bool,
     pub frozen_until: u64,
+    /// How often a store was started on this machine.
+    pub starts: u64,
     /// The machines that its registry has heard of, and the time of the last contact with each; 0 for none.
     known_machines: BTreeMap<usize, u64>,
 }
 
-/// The name, version and body of an item.
-type Content = (String, u64, Option<Vec<u8>>);
-
-fn content(item: Item) -> Content {
-    (item.key.name, item.version, item.body)
-}
-
 /// The state of the simulation.
 pub struct Simulation {
     pub rng: SmallRng,
@@ -80,19 +83,23 @@
     pub machines: Vec<Machine>,
     queue: BinaryHeap<std::cmp::Reverse<(u64, Event)>>,
     messages: Vec<Message>,
+    /// Commands whose callers were known to wait when the stores asked.
+    pub submissions: Vec<Submission>,
     /// Blocked links, by sender and recipient.
     pub blocked_links: BTreeSet<(usize, usize)>,
     /// The end of the partition.
     pub blocked_until: u64,
     /// Commands under way, each with the versions that had been acknowledged or read when it was submitted. A read must
     /// return at least these versions.
-    in_flight: BTreeMap<u64, (Command, BTreeMap<String, u64>)>,
+    pub in_flight: BTreeMap<u64, (Command, BTreeMap<String, u64>)>,
     /// The number of the last command submitted.
     last_command_number: u64,
     /// The highest acknowledged version of each item.
     pub acknowledged: BTreeMap<String, u64>,
     /// The highest version read of each item.
     pub read: BTreeMap<String, u64>,
+    /// The highest version of each item that was committed on any disk, also on one that was lost since.
+    newest_committed: BTreeMap<ItemKey, u64>,
     /// The body of each version that was acknowledged or read.
     contents: BTreeMap<(String, u64), Option<Vec<u8>>>,
     /// The probability that a message is lost.
@@ -105,10 +112,8 @@
     pub answered_reads: usize,
     /// Commands whose result is unknown, to be submitted again.
     pub to_resubmit: Vec<Command>,
-    /// The number of submitted changes with each content that were not rejected.
-    unrejected: BTreeMap<Content, i64>,
-    /// Items that were rejected and later in force: a known fault that is not fixed, see `docs/system.md`.
-    pub rejected_in_force: BTreeSet<(String, u64)>,
+    /// The operators, who send calls again that have no clear answer.
+    pub callers: Callers,
 }
 
 impl Simulation {
@@ -120,20 +125,21 @@
             machines: Vec::new(),
             queue: BinaryHeap::new(),
             messages: Vec::new(),
+            submissions: Vec::new(),
             blocked_links: BTreeSet::new(),
             blocked_until: 0,
             in_flight: BTreeMap::new(),
             last_command_number: 0,
             acknowledged: BTreeMap::new(),
             read: BTreeMap::new(),
+            newest_committed: BTreeMap::new(),
             contents: BTreeMap::new(),
             loss_probability: 0.03,
             duplication_probability: 0.0,
             acknowledged_changes: 0,
             answered_reads: 0,
             to_resubmit: vec![],
-            unrejected: BTreeMap::new(),
-            rejected_in_force: BTreeSet::new(),
+            callers: Callers::default(),
         };
         let seeds: Vec<Ip> = (0..3).map(ip).collect();
         for n in 0..size {
@@ -169,6 +175,7 @@
             millis(self.now),
         );
         self.machines[n].store = Some(replica);
+        self.machines[n].starts += 1;
         self.update_roster(n);
     }
 
@@ -282,6 +289,13 @@
         for effect in &effects {
             if let Effect::Persist(write) = effect {
                 self.machines[n].disk.apply(write);
+                if let DurableWrite::Committed(items) = write {
+                    self.callers.check_committed(items);
+                    for item in items {
+                        let newest = self.newest_committed.entry(item.key.clone()).or_default();
+                        *newest = (*newest).max(item.version);
+                    }
+                }
             }
         }
         for effect in effects {
@@ -293,12 +307,8 @@
                 }
                 Effect::Reply(number, reply) => self.reply(number, reply),
                 Effect::Reconfirm(number, command) => {
-                    if let (true, Some(store)) = (
-                        self.in_flight.contains_key(&number),
-                        &mut self.machines[n].store,
-                    ) {
-                        store.submit_at_once(number, command, millis(self.now));
-                        self.execute_effects(n);
+                    if self.in_flight.contains_key(&number) {
+                        self.ask_registry(n, number, command);
                     }
                 }
             }
@@ -310,6 +320,7 @@
         let Some((command, minimum_versions)) = self.in_flight.remove(&number) else {
             return;
         };
+        self.answer_caller(number, &reply);
         match (command, reply) {
             (Command::Change(change), CommandReply::Done) => {
                 self.acknowledged_changes += 1;
@@ -323,14 +334,9 @@
             }
             (Command::Read, CommandReply::Config(items)) => {
                 self.answered_reads += 1;
+                self.callers.check_read(number, &items);
                 self.check_read(items, &minimum_versions);
             }
-            (Command::Change(change), CommandReply::Invalid(_)) => {
-                change
-                    .items
-                    .into_iter()
-                    .for_each(|item| *self.unrejected.entry(content(item)).or_default() -= 1);
-            }
             // The caller submits the command again, to another store.
             (command, CommandReply::Unavailable(_)) => self.to_resubmit.push(command),
             _ => {}
@@ -339,15 +345,8 @@
 
     /// Invariant: at most one content per version is acknowledged. A version that was superseded before is exempt.
     fn check_acknowledged(&mut self, item: &Item) {
-        let committed = self
-            .machines
-            .iter()
-            .filter_map(|m| m.disk.committed.get(&item.key));
-        if committed
-            .map(|i| i.version)
-            .max()
-            .is_some_and(|latest| latest > item.version)
-        {
+        let newest = self.newest_committed.get(&item.key);
+        if newest.is_some_and(|newest| *newest > item.version) {
             return;
         }
         let key = (item.key.name.clone(), item.version);
@@ -381,17 +380,11 @@
                 item.version
             );
         }
-        for i in &items {
-            let rejected = self
-                .unrejected
-                .get(&content(i.clone()))
-                .is_some_and(|calls| *calls == 0);
-            if rejected {
-                self.rejected_in_force
-                    .insert((i.key.name.clone(), i.version));
-            }
-        }
-        for i in items {
+        // The versions of evacuations are the stores' own.
+        for i in items
+            .into_iter()
+            .filter(|i| i.key.kind != ItemKind::Evacuation)
+        {
             let (name, version) = (i.key.name, i.version);
             let expected_body = self
                 .contents
@@ -406,25 +399,32 @@
         }
     }
 
-    /// Submits a command to a machine's store, unless the store is frozen or not running.
-    pub fn submit(&mut self, n: usize, command: Command) {
+    /// Returns a new number for a command.
+    pub fn next_command_number(&mut self) -> u64 {
         self.last_command_number += 1;
-        let frozen = self.now < self.machines[n].frozen_until;
-        let Some(store) = self.machines[n].store.as_mut().filter(|_| !frozen) else {
-            return;
-        };
+        self.last_command_number
+    }
+
+    /// Records that the caller of a command waits for its reply from now on.
+    pub fn track(&mut self, number: u64, command: Command) {
         let mut minimum_versions = self.read.clone();
         for (name, version) in &self.acknowledged {
             let minimum = minimum_versions.entry(name.clone()).or_default();
             *minimum = (*minimum).max(*version);
         }
-        if let Command::Change(change) = &command {
-            let contents = change.items.iter().cloned().map(content);
-            contents.for_each(|content| *self.unrejected.entry(content).or_default() += 1);
-        }
+        self.in_flight.insert(number, (command, minimum_versions));
+    }
+
+    /// Submits a command to a machine's store, unless the store is frozen or not running.
+    pub fn submit(&mut self, n: usize, command: Command) {
+        let number = self.next_command_number();
+        let frozen = self.now < self.machines[n].frozen_until;
+        let Some(store) = self.machines[n].store.as_mut().filter(|_| !frozen) else {
+            return;
+        };
         store.submit_at_once(self.last_command_number, command.clone(), millis(self.now));
-        self.in_flight
-            .insert(self.last_command_number, (command, minimum_versions));
+        self.callers.read_submitted(number);
+        self.track(number, command);
         self.execute_effects(n);
     }
 
@@ -512,6 +512,16 @@
         self.machines[n].removed = permanent;
     }
 
+    /// Submits a command whose caller was known to wait when the store asked.
+    fn submit_confirmed(&mut self, n: usize, submission_index: usize, starts: u64) {
+        let submission = self.submissions[submission_index].clone();
+        let machine = &mut self.machines[n];
+        if let Some(store) = machine.store.as_mut().filter(|_| machine.starts == starts) {
+            store.submit(submission, millis(self.now));
+            self.execute_effects(n);
+        }
+    }
+
     /// Handles a scheduled event.
     fn handle_event(&mut self, event: Event) {
         match event {
@@ -540,6 +550,24 @@
                     self.execute_effects(to);
                 }
             }
+            Event::Submit {
+                n,
+                submission_index,
+                starts,
+            } => {
+                if self.now < self.machines[n].frozen_until {
+                    let remaining = self.machines[n].frozen_until - self.now;
+                    return self.schedule(
+                        remaining,
+                        Event::Submit {
+                            n,
+                            submission_index,
+                            starts,
+                        },
+                    );
+                }
+                self.submit_confirmed(n, submission_index, starts);
+            }
             Event::Start(n) => {
                 if self.machines[n].store.is_none() && !self.machines[n].removed {
                     self.start(n);
@@ -566,6 +594,7 @@
         if self.now.is_multiple_of(GOSSIP_INTERVAL) {
             self.gossip();
         }
+        self.advance_callers();
         for n in 0..self.machines.len() {
             let frozen = self.now < self.machines[n].frozen_until;
             if let Some(store) = self.machines[n].store.as_mut().filter(|_| !frozen) {
@@ -588,8 +617,9 @@
             1,
             "replicas differ after a period without faults"
         );
-        let set = VoterSet::from_snapshot(&self.machines[machines_in_use[0]].disk.committed)
-            .expect("committed voter set");
+        let committed = &self.machines[machines_in_use[0]].disk.committed;
+        self.callers.check_final_evacuations(committed);
+        let set = VoterSet::from_snapshot(committed).expect("committed voter set");
         for n in &machines_in_use {
             let voter = Voter {
                 ip: ip(*n),
--- a/crates/config-store/tests/refused_commands.rs
+++ b/crates/config-store/tests/refused_commands.rs
@@ -177,6 +177,11 @@
             .map(|item| item.version)
     }
 
+    fn has_accepted(&self, n: usize, route: &str) -> bool {
+        let items = self.nodes[n].disk.accepted.items();
+        items.keys().any(|key| key.name == route)
+    }
+
     fn route_version(&self, n: usize, name: &str) -> Option<u64> {
         self.version(n, ItemKind::Route, name)
     }
@@ -314,6 +319,68 @@
     assert_eq!(cluster.call(1, third), CommandReply::Done);
 }
 
+/// Guards against CONFIG (`review/5`): one store had accepted a change of three items when all were killed. The others
+/// refused it, as one of the items had lost its place; the next round with that store committed the other two.
+#[test]
+fn no_part_of_a_refused_change_is_recovered() {
+    for is_recovered_before_the_refusal in [false, true] {
+        let mut cluster = start_configured();
+        let refused = change(&[
+            route("a", "x", 1),
+            route("b", "y", 1),
+            route("old", "taken", 2),
+        ]);
+        propose_and_kill_all(&mut cluster, std::slice::from_ref(&refused));
+        cluster.restart(0);
+        cluster.restart(1);
+        let reply = cluster.call(0, change(&[route("other", "taken", 1)]));
+        assert_eq!(reply, CommandReply::Done);
+        if is_recovered_before_the_refusal {
+            cluster.restart(2);
+            cluster.run_for(SETTLING_TIME);
+        }
+        let reply = cluster.call(1, refused);
+        assert!(is_rejected(&reply), "{reply:?}");
+        if !is_recovered_before_the_refusal {
+            cluster.restart(2);
+        }
+        // What the change clashed with goes.
+        let reply = cluster.call(0, change(&[item(ItemKind::Route, "other", 2, None)]));
+        assert_eq!(reply, CommandReply::Done);
+        cluster.run_for(SETTLING_TIME);
+        for n in 0..3 {
+            let versions = ["a", "b", "old"].map(|name| cluster.route_version(n, name));
+            assert_eq!(versions, [None, None, Some(1)], "at replica {n}");
+            let disk = &cluster.nodes[n].disk;
+            assert_eq!(
+                disk.accepted, disk.committed,
+                "items are left at replica {n}"
+            );
+        }
+    }
+}
+
+/// Guards against a loss that the log of `review/5` showed: where two calls had a conflict, recovery reverted the oldest
+/// item, whichever it was. Here the oldest is of a call that conflicts with nothing.
+#[test]
+fn recovery_reverts_only_calls_with_a_conflict() {
+    let mut cluster = start_configured();
+    let commands = [("a", "x"), ("first", "taken-1"), ("second", "taken-2")];
+    let commands = commands.map(|(name, prefix)| change(&[route(name, prefix, 1)]));
+    propose_and_kill_all(&mut cluster, &commands);
+    assert!(cluster.has_accepted(2, "a") && cluster.has_accepted(2, "second"));
+    cluster.restart(0);
+    cluster.restart(1);
+    for prefix in ["taken-1", "taken-2"] {
+        let reply = cluster.call(0, change(&[route(prefix, prefix, 1)]));
+        assert_eq!(reply, CommandReply::Done);
+    }
+    cluster.restart(2);
+    cluster.run_for(SETTLING_TIME);
+    let versions = ["a", "first", "second"].map(|name| cluster.route_version(0, name));
+    assert_eq!(versions, [Some(1), None, None]);
+}
+
 /// Guards against EVAC (`review/more-2/evacuation-undone`): one store had accepted a withdrawal when all were killed. The
 /// zone was ordered out again, which was acknowledged without a write; then the withdrawal was recovered.
 #[test]
--- a/crates/control/src/config/item.rs
+++ b/crates/control/src/config/item.rs
@@ -50,10 +50,38 @@
 pub struct ProposalNumber {
     /// The round; a proposer starts each round with a higher number than any that it has seen.
     pub round: u64,
-    /// The id of the proposer's disk.
+    /// The id of the proposer, followed by [`CALL_BITS`] bits with the number of a call within the round.
     pub proposer: u64,
 }
 
+/// The number of low bits of [`ProposalNumber::proposer`] that number the calls of a round. The items of a call are
+/// proposed, accepted and committed together, under one number.
+const CALL_BITS: u32 = 16;
+
+impl ProposalNumber {
+    /// Returns the number of a round, which is below those of its calls. No number of another round lies between.
+    pub fn of_round(round: u64, proposer_id: u64) -> Self {
+        ProposalNumber {
+            round,
+            proposer: proposer_id << CALL_BITS,
+        }
+    }
+
+    /// Returns the number of a call of this round.
+    pub fn of_call(self, call: u16) -> Self {
+        let proposer = (self.proposer >> CALL_BITS) << CALL_BITS;
+        ProposalNumber {
+            proposer: proposer | u64::from(call),
+            ..self
+        }
+    }
+
+    /// Returns whether both numbers belong to the same round of the same proposer.
+    pub fn is_of_same_round(self, other: ProposalNumber) -> bool {
+        self.of_call(0) == other.of_call(0)
+    }
+}
+
 /// A configuration item as it is stored and sent.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Encode, Decode)]
 pub struct Item {
--- a/crates/control/src/config/mod.rs
+++ b/crates/control/src/config/mod.rs
@@ -22,3 +22,4 @@
 pub use mirror_rule::{MirrorRule, SelectionKey, TrialInstance};
 pub use shard_index::{GROUP_COUNT, SHARDS_PER_GROUP, ShardId, ShardIndex};
 pub use snapshot::ConfigSnapshot;
+pub use validation::Conflict;
--- a/crates/control/src/config/validation.rs
+++ b/crates/control/src/config/validation.rs
@@ -34,65 +34,109 @@
     Ok(())
 }
 
+/// A reason why the items of a snapshot are not a valid configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Conflict {
+    /// The item with the error.
+    pub item: ItemKey,
+    /// The other item, which may be missing or removed; `None` if the item is invalid by itself.
+    pub other: Option<ItemKey>,
+    /// The error.
+    pub error: InvalidConfig,
+}
+
+impl Conflict {
+    fn of_item(item: &Item, error: InvalidConfig) -> Self {
+        Conflict {
+            item: item.key.clone(),
+            other: None,
+            error,
+        }
+    }
+
+    fn between(item: &Item, other: ItemKey, reason: String) -> Self {
+        Conflict {
+            item: item.key.clone(),
+            other: Some(other),
+            error: InvalidConfig::item(&item.key.name, reason),
+        }
+    }
+}
+
 impl ConfigSnapshot {
     /// Checks whether all items together are a valid configuration, apart from mirror rules.
     ///
     /// # Errors
     /// Returns an error for the first item that is invalid or conflicts with another.
     pub fn validate(&self) -> Result<(), InvalidConfig> {
-        self.present_items(ItemKind::Service)
-            .try_for_each(validate_service)?;
-        self.validate_routes()?;
-        self.validate_tenants()?;
-        for item in self.present_items(ItemKind::Limits) {
-            ConnectionLimits::try_from(item)?;
+        let first = self.conflicts().into_iter().next();
+        first.map_or(Ok(()), |conflict| Err(conflict.error))
+    }
+
+    /// Returns all reasons why the items together are not a valid configuration, apart from mirror rules.
+    pub fn conflicts(&self) -> Vec<Conflict> {
+        let mut conflicts = Vec::new();
+        for kind in [ItemKind::Service, ItemKind::Limits] {
+            for item in self.present_items(kind) {
+                let error = item.validate().err();
+                conflicts.extend(error.map(|error| Conflict::of_item(item, error)));
+            }
         }
-        Ok(())
+        self.find_route_conflicts(&mut conflicts);
+        self.find_tenant_conflicts(&mut conflicts);
+        conflicts
     }
 
     /// Checks that the services of each route exist and that no two routes have the same host and prefix.
-    fn validate_routes(&self) -> Result<(), InvalidConfig> {
-        let mut names_by_prefix: BTreeMap<(String, String), &str> = BTreeMap::new();
+    fn find_route_conflicts(&self, conflicts: &mut Vec<Conflict>) {
+        let mut keys_by_prefix: BTreeMap<(String, String), &ItemKey> = BTreeMap::new();
         for item in self.present_items(ItemKind::Route) {
-            let route = Route::try_from(item)?;
-            let name = &item.key.name;
+            let route = match Route::try_from(item) {
+                Ok(route) => route,
+                Err(error) => {
+                    conflicts.push(Conflict::of_item(item, error));
+                    continue;
+                }
+            };
             for target in &route.services {
-                if !self.has_service(&target.service) {
+                let service = ItemKey {
+                    kind: ItemKind::Service,
+                    name: target.service.clone(),
+                };
+                if self.get(&service).is_none_or(Item::is_removed) {
                     let reason = format!("target_service: unknown service `{}`", target.service);
-                    return Err(InvalidConfig::item(name, reason));
+                    conflicts.push(Conflict::between(item, service, reason));
                 }
             }
-            if let Some(other) = names_by_prefix.insert((route.host, route.prefix), name) {
-                let reason =
-                    format!("host_name and path_prefix are the same as those of `{other}`");
-                return Err(InvalidConfig::item(name, reason));
+            if let Some(other) = keys_by_prefix.insert((route.host, route.prefix), &item.key) {
+                let reason = format!(
+                    "host_name and path_prefix are the same as those of `{}`",
+                    other.name
+                );
+                conflicts.push(Conflict::between(item, other.clone(), reason));
             }
         }
-        Ok(())
-    }
-
-    fn has_service(&self, service: &str) -> bool {
-        let key = ItemKey {
-            kind: ItemKind::Service,
-            name: service.into(),
-        };
-        self.get(&key).is_some_and(|item| !item.is_removed())
     }
 
     /// Checks that no API key belongs to two tenants.
-    fn validate_tenants(&self) -> Result<(), InvalidConfig> {
-        let mut owners: BTreeMap<String, &str> = BTreeMap::new();
+    fn find_tenant_conflicts(&self, conflicts: &mut Vec<Conflict>) {
+        let mut owners: BTreeMap<String, &ItemKey> = BTreeMap::new();
         for item in self.present_items(ItemKind::Tenant) {
-            let name = item.key.name.as_str();
-            for key in Tenant::try_from(item)?.api_keys {
-                let other = owners.insert(key, name).filter(|other| *other != name);
-                if let Some(other) = other {
-                    let reason = format!("api_keys: `{other}` has the same key");
-                    return Err(InvalidConfig::item(name, reason));
+            let tenant = match Tenant::try_from(item) {
+                Ok(tenant) => tenant,
+                Err(error) => {
+                    conflicts.push(Conflict::of_item(item, error));
+                    continue;
+                }
+            };
+            for api_key in tenant.api_keys {
+                let other = owners.insert(api_key, &item.key);
+                if let Some(other) = other.filter(|other| **other != item.key) {
+                    let reason = format!("api_keys: `{}` has the same key", other.name);
+                    conflicts.push(Conflict::between(item, other.clone(), reason));
                 }
             }
         }
-        Ok(())
     }
 
     /// Checks whether the mirror rules conflict with each other or with the configuration. This check applies only to
--- a/crates/control/src/messages/message.rs
+++ b/crates/control/src/messages/message.rs
@@ -233,7 +233,7 @@
     },
     /// Items that the receiver lacks or may lack.
     RepairItems {
-        /// Accepted items.
+        /// Accepted items that are not known to be committed, as earlier versions sent them; ignored and left empty.
         items: Vec<Item>,
         /// Committed items.
         committed: Vec<Item>,
