Proxy: no key is valid once the last tenant is removed

Cause: RoutingTable::find asked for a key only while there were present tenants, so 'none left' was taken for 'none configured'. Evidence: before the removal an unknown key gets 401, after it 200, at machines that have applied it. The same confusion with routes is mended: a configuration whose last route was removed gave 503 and kept a proxy from starting, now its paths are not found.

--- a/crates/ctl/tests/system/main.rs
+++ b/crates/ctl/tests/system/main.rs
@@ -10,6 +10,7 @@
 mod operator;
 mod orders;
 mod programs;
+mod removals;
 mod replacement;
 mod stalled;
 
--- a/crates/proxy/src/freshness.rs
+++ b/crates/proxy/src/freshness.rs
@@ -49,8 +49,8 @@
         self.has_current_items && self.has_current_list
     }
 
-    /// Returns whether to begin to serve, and with which state. `is_complete` says whether routes
-    /// and backends are known.
+    /// Returns whether to begin to serve, and with which state. `is_complete` says whether a
+    /// configuration and backends are known.
     pub fn serving_state(&mut self, is_complete: bool, now: Duration) -> Option<ServingState> {
         if !is_complete {
             return None;
--- a/crates/proxy/src/process/proxy.rs
+++ b/crates/proxy/src/process/proxy.rs
@@ -321,8 +321,8 @@
 
     /// Starts to accept clients once routes and backends are known and the data is recent enough to serve requests.
     pub(super) fn start_serving_when_ready(&mut self) -> Result<(), LinkError> {
-        let has_routes = !self.routing_table.borrow().is_empty();
-        let is_complete = has_routes && !self.backend_pool.borrow().is_empty();
+        let is_configured = self.routing_table.borrow().is_configured();
+        let is_complete = is_configured && !self.backend_pool.borrow().is_empty();
         let now = self.clock.now();
         let basis = self
             .control
--- a/crates/proxy/src/protocol.rs
+++ b/crates/proxy/src/protocol.rs
@@ -247,7 +247,7 @@
         let table = self.routing_table.borrow().clone();
         let request =
             RequestHead::parse(head).ok_or_else(|| empty_rejection(StatusCode::BAD_REQUEST))?;
-        if table.is_empty() {
+        if !table.is_configured() {
             // Without a configuration, 503 makes the client retry; 404 would state that the route does not exist.
             let status = StatusCode::SERVICE_UNAVAILABLE;
             return Err(retry_later(status, Some(RETRY_AFTER_UNCONFIGURED)).into());
--- a/crates/proxy/src/routing_table.rs
+++ b/crates/proxy/src/routing_table.rs
@@ -18,7 +18,11 @@
 pub struct RoutingTable {
     /// Routes by host, longest prefix first.
     routes: HashMap<String, Vec<Rc<Route>>>,
+    /// Whether a route was ever configured, even if all routes were removed since.
+    is_configured: bool,
     tenants_by_key: HashMap<String, Rc<Tenant>>,
+    /// Whether a tenant was ever configured, even if all tenants were removed since.
+    requires_api_key: bool,
     /// All tenants.
     pub tenants: Vec<Rc<Tenant>>,
     services: HashMap<String, Service>,
@@ -46,7 +50,7 @@
 pub struct RouteMatch<'a> {
     /// The route of the request.
     pub route: &'a Rc<Route>,
-    /// The tenant; `None` if the route is public or no tenants are configured.
+    /// The tenant; `None` if the route is public or no tenants were ever configured.
     pub tenant: Option<&'a Rc<Tenant>>,
 }
 
@@ -61,10 +65,20 @@
         .filter_map(|item| T::try_from(item).ok())
 }
 
+/// Returns whether an item of a kind was ever configured. Removed items stay in the snapshot as
+/// tombstones.
+fn was_configured(snapshot: &ConfigSnapshot, kind: ItemKind) -> bool {
+    snapshot.items().keys().any(|key| key.kind == kind)
+}
+
 impl RoutingTable {
     /// Builds the table from a configuration snapshot.
     pub fn from_snapshot(snapshot: &ConfigSnapshot) -> Self {
-        let mut table = RoutingTable::default();
+        let mut table = RoutingTable {
+            is_configured: was_configured(snapshot, ItemKind::Route),
+            requires_api_key: was_configured(snapshot, ItemKind::Tenant),
+            ..RoutingTable::default()
+        };
         for route in read_items::<Route>(snapshot, ItemKind::Route) {
             table
                 .routes
@@ -96,9 +110,9 @@
         table
     }
 
-    /// Returns whether there are no routes, that is, no configuration is known yet.
-    pub fn is_empty(&self) -> bool {
-        self.routes.is_empty()
+    /// Returns whether a configuration with routes is known. It may have no routes any more.
+    pub fn is_configured(&self) -> bool {
+        self.is_configured
     }
 
     /// Returns the requests per second that a backend of a service accepts while it warms up; 0 if
@@ -130,7 +144,7 @@
             });
         }
         let tenant = key.and_then(|key| self.tenants_by_key.get(key));
-        if tenant.is_none() && !self.tenants.is_empty() {
+        if tenant.is_none() && self.requires_api_key {
             return Err(RoutingError::InvalidApiKey);
         }
         Ok(RouteMatch { route, tenant })
--- a/crates/proxy/tests/routing_table.rs
+++ b/crates/proxy/tests/routing_table.rs
@@ -4,12 +4,19 @@
 use damsonbeam_proxy::routing_table::{RoutingError, RoutingTable};
 
 fn routing_table(text: &str) -> RoutingTable {
+    RoutingTable::from_snapshot(&snapshot(&[text]))
+}
+
+/// Returns the snapshot after calls in this order.
+fn snapshot(calls: &[&str]) -> ConfigSnapshot {
     let mut snapshot = ConfigSnapshot::default();
-    let change = ConfigChange::from_json(text.as_bytes().to_vec()).expect("valid JSON");
-    for item in snapshot.effective_items(&change) {
-        snapshot.merge(item);
+    for text in calls {
+        let change = ConfigChange::from_json(text.as_bytes().to_vec()).expect("valid JSON");
+        for item in snapshot.effective_items(&change) {
+            snapshot.merge(item);
+        }
     }
-    RoutingTable::from_snapshot(&snapshot)
+    snapshot
 }
 
 #[test]
@@ -61,3 +68,46 @@
     route.services.rotate_right(1);
     assert_eq!(RoutingTable::choose_service(&route, 0.0), "a");
 }
+
+const ROUTE_WITHOUT_TENANTS: &str = r#"{"upserts":{"route_list":[{"name":"r","host_name":"h","path_prefix":"/","route_type":"read_only","timeout_ms":9,"target_latency_ms":5,"target_service":"s","config_version":"r1"}]}}"#;
+
+/// Guards against ROUTE (`review/6`): when the last tenant was removed, requests with its key, with unknown keys and with
+/// none were routed, as if no tenant had ever been configured.
+#[test]
+fn no_key_is_valid_once_the_last_tenant_is_removed() {
+    let tenant =
+        r#"{"upserts":{"tenant_list":[{"name":"t","api_keys":["k"],"config_version":"r1"}]}}"#;
+    let removal = r#"{"removals":{"tenant_list":[{"name":"t","config_version":"r2"}]}}"#;
+    let keys = [Some("k"), Some("unknown"), None];
+    let results = |calls: &[&str]| {
+        let table = RoutingTable::from_snapshot(&snapshot(calls));
+        keys.map(|key| table.find("h", "/x", key).map(drop))
+    };
+    let refused = Err(RoutingError::InvalidApiKey);
+    assert_eq!(
+        results(&[ROUTE_WITHOUT_TENANTS, tenant]),
+        [Ok(()), refused, refused]
+    );
+    assert_eq!(
+        results(&[ROUTE_WITHOUT_TENANTS, tenant, removal]),
+        [refused; 3]
+    );
+    // The order in which the calls become known makes no difference.
+    assert_eq!(
+        results(&[removal, tenant, ROUTE_WITHOUT_TENANTS]),
+        [refused; 3]
+    );
+    assert_eq!(results(&[ROUTE_WITHOUT_TENANTS]), [Ok(()); 3]);
+}
+
+/// The same confusion with routes: a configuration whose last route was removed was taken for none at all, so that clients
+/// were told to come back.
+#[test]
+fn a_configuration_without_routes_differs_from_none() {
+    let removal = r#"{"removals":{"route_list":[{"name":"r","config_version":"r2"}]}}"#;
+    let table = RoutingTable::from_snapshot(&snapshot(&[ROUTE_WITHOUT_TENANTS, removal]));
+    assert!(table.is_configured());
+    assert_eq!(table.find("h", "/x", None), Err(RoutingError::NoRoute));
+    assert!(!RoutingTable::default().is_configured());
+    assert!(!routing_table("{}").is_configured());
+}
