Gateway: an answer under way ends at its request's time limit

Cause: the dispatcher's timer goes with the attempt, which ends when its response begins; the stream after it knew a silence of 30 s only. Evidence: all late requests had status 200 and half of the body, and requests at that server without a begun answer were served by another. Change: the client's connection owns the limit from the answer's first byte to its last: timeout_ms or the client's deadline, from the request's last byte. At the limit the connection is reset and the backend's closed; a client that doesn't read is bound as well. Not sooner: silence is no reason, nor is the backend's removal from the list. The older gateway has no such limit and is unchanged.

--- a/crates/gateway/src/backends/attempt_log.rs
+++ b/crates/gateway/src/backends/attempt_log.rs
@@ -130,6 +130,12 @@
                     "{self}: the answer broke off, {ended_by}."
                 );
             }
+            StreamEnd::TimedOut => {
+                tracing::debug!(
+                    code = "answer-ended",
+                    "{self}: the answer was cut off at the time limit of its request."
+                );
+            }
             StreamEnd::Abandoned => {
                 tracing::debug!(
                     code = "answer-ended",
--- a/crates/gateway/src/bodies/response.rs
+++ b/crates/gateway/src/bodies/response.rs
@@ -1,6 +1,8 @@
 //! The body of a response: buffered, or streamed to the client while the backend sends it.
 
+use std::cell::Cell;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -24,6 +26,8 @@
     Broken,
     /// The client disconnected before the end.
     Abandoned,
+    /// The time limit of the response passed before the end.
+    TimedOut,
 }
 
 /// Response body that is still being received from the backend.
@@ -36,6 +40,8 @@
     finished: bool,
     /// Receives how the stream ended; the connection can be reused after a complete one.
     end_sender: Option<oneshot::Sender<StreamEnd>>,
+    /// Set if the response is cut off because its time limit has passed.
+    pub exceeds_limit: Rc<Cell<bool>>,
     /// Called with how the stream ended, to count the response.
     pub on_end: Option<Box<dyn FnOnce(StreamEnd)>>,
 }
@@ -59,6 +65,7 @@
                 broken: false,
                 finished: false,
                 end_sender: Some(end_sender),
+                exceeds_limit: Rc::default(),
                 on_end,
             },
             end_receiver,
@@ -109,6 +116,7 @@
         let end = match (self.broken, self.finished) {
             (true, _) => StreamEnd::Broken,
             (false, true) => StreamEnd::Complete,
+            (false, false) if self.exceeds_limit.get() => StreamEnd::TimedOut,
             (false, false) => StreamEnd::Abandoned,
         };
         self.end_sender.take().map(|sender| sender.send(end).ok());
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -1,5 +1,6 @@
 //! Connections of clients: accepts them, serves them with hyper and keeps a registry of them.
 
+mod answer_limit;
 mod connection;
 mod invocation;
 mod services;
@@ -24,9 +25,12 @@
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc};
-use tokio::time::{sleep_until, timeout};
+use tokio::time::timeout;
 
-use self::connection::{ClientConnection, ConnectionState, ObservedSocket, has_unread_input};
+use self::answer_limit::AnswerLimit;
+use self::connection::{
+    ClientConnection, ConnectionState, DeadlineTimer, ObservedSocket, has_unread_input,
+};
 use self::services::{InvocationService, PhaseService};
 use crate::attempts::Repeatable;
 use crate::bodies::ResponseBody;
@@ -95,6 +99,9 @@
     pub context: RequestContext,
     /// How long the client waits for the response after the last byte of the request.
     pub time_left: Duration,
+    /// The longest time from the last byte of the request to the last byte of its answer, however much of the answer is
+    /// under way by then; `None` if only the answer's first byte has a limit.
+    pub answer_limit: Option<Duration>,
     /// Headers that are forwarded to the backend.
     pub headers: HeaderMap,
     /// Dispatcher that handles the invocation.
@@ -281,6 +288,7 @@
             close_now: Cell::new(false),
             response_complete: Cell::new(false),
             request_body_unread: Cell::new(false),
+            answer_limit: AnswerLimit::default(),
             timeouts: self.timeouts.clone(),
         });
         self.connections.borrow_mut().insert(id, connection.clone());
@@ -317,11 +325,9 @@
             .max_buf_size(MAX_HEAD)
             .serve_connection(TokioIo::new(observed), service);
         let mut serving = pin!(serving);
-        let mut armed_deadline = connection.deadline();
-        let mut timer = pin!(sleep_until(
-            clock.to_instant(armed_deadline.unwrap_or_default())
-        ));
+        let mut timer = DeadlineTimer::new(&connection, clock);
         let mut close = pin!(connection.close.notified());
+        let mut limit_changed = pin!(connection.answer_limit.changed.notified());
         let mut is_closing = false;
         let done = poll_fn(|cx| {
             if let Poll::Ready(done) = serving.as_mut().poll(cx) {
@@ -338,16 +344,12 @@
                     }
                 }
             }
-            let deadline = connection.deadline();
-            if deadline.is_some() && deadline != armed_deadline {
-                timer
-                    .as_mut()
-                    .reset(clock.to_instant(deadline.unwrap_or_default()));
-                armed_deadline = deadline;
+            while limit_changed.as_mut().poll(cx).is_ready() {
+                limit_changed.set(connection.answer_limit.changed.notified());
             }
             // The connection is dropped with its unfinished request; a head that never ends would otherwise keep the
             // connection open for ever.
-            let timed_out = deadline.is_some() && timer.as_mut().poll(cx).is_ready();
+            let timed_out = timer.poll(&connection, cx).is_ready();
             if timed_out || connection.close_now.get() {
                 Poll::Ready(None)
             } else {
--- a/crates/gateway/src/clients/connection.rs
+++ b/crates/gateway/src/clients/connection.rs
@@ -1,6 +1,7 @@
 //! State and timeouts of a client connection, and the socket wrapper that tracks them.
 
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
@@ -12,8 +13,10 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::{Sleep, sleep_until};
 
 use super::ClientTimeouts;
+use super::answer_limit::AnswerLimit;
 use crate::bodies::CLIENT_SILENCE_TIMEOUT;
 use crate::clock::Clock;
 use crate::log::log;
@@ -66,6 +69,8 @@
     pub(super) response_complete: Cell<bool>,
     /// Whether the request body was not read to its end, so that the connection is closed after the response.
     pub(super) request_body_unread: Cell<bool>,
+    /// The limit of the answer to the current request.
+    pub(super) answer_limit: AnswerLimit,
     pub(super) timeouts: Rc<Cell<ClientTimeouts>>,
 }
 
@@ -120,7 +125,11 @@
                         .min(self.body_started.get() + SLOW_BODY_GRACE + transfer_time),
                 )
             }
-            ConnectionState::WritingResponse => Some(self.state_since.get() + WRITE_TIMEOUT),
+            ConnectionState::WritingResponse => {
+                let write_deadline = self.state_since.get() + WRITE_TIMEOUT;
+                let limit = self.answer_deadline().unwrap_or(write_deadline);
+                Some(write_deadline.min(limit))
+            }
             ConnectionState::Idle => {
                 Some(self.state_since.get() + self.timeouts.get().idle_connection)
             }
@@ -129,6 +138,56 @@
     }
 }
 
+impl ClientConnection {
+    /// Returns when the answer is cut off if its backend has not sent all of it by then.
+    fn answer_deadline(&self) -> Option<Duration> {
+        let limit = self.answer_limit.expires_at();
+        limit.filter(|_| !self.response_complete.get())
+    }
+
+    /// Records that the answer is cut off at its limit, if that is the deadline that has passed.
+    fn mark_exceeded_limit(&self, passed: Duration) {
+        let is_writing = self.state.get() == ConnectionState::WritingResponse;
+        if is_writing && self.answer_deadline() == Some(passed) {
+            self.answer_limit.exceeded_mark().set(true);
+        }
+    }
+}
+
+/// Timer for the deadline of a connection, which changes with its state.
+pub(super) struct DeadlineTimer {
+    clock: Clock,
+    armed: Option<Duration>,
+    sleep: Pin<Box<Sleep>>,
+}
+
+impl DeadlineTimer {
+    pub(super) fn new(connection: &ClientConnection, clock: Clock) -> Self {
+        let armed = connection.deadline();
+        let instant = clock.to_instant(armed.unwrap_or_default());
+        DeadlineTimer {
+            clock,
+            armed,
+            sleep: Box::pin(sleep_until(instant)),
+        }
+    }
+
+    /// Returns ready once the connection's present deadline has passed.
+    pub(super) fn poll(&mut self, connection: &ClientConnection, cx: &mut Context) -> Poll<()> {
+        let Some(deadline) = connection.deadline() else {
+            return Poll::Pending;
+        };
+        if self.armed != Some(deadline) {
+            self.armed = Some(deadline);
+            let instant = self.clock.to_instant(deadline);
+            self.sleep.as_mut().reset(instant);
+        }
+        ready!(self.sleep.as_mut().poll(cx));
+        connection.mark_exceeded_limit(deadline);
+        Poll::Ready(())
+    }
+}
+
 /// Socket of a client that updates the state of its connection on reads and writes.
 pub(super) struct ObservedSocket {
     pub(super) socket: Rc<RefCell<TcpStream>>,
--- a/crates/gateway/src/clients/invocation.rs
+++ b/crates/gateway/src/clients/invocation.rs
@@ -57,10 +57,9 @@
         body.on_end = Some(Box::new(move |end| {
             clients.metrics.current.dec();
             let metrics = &clients.metrics;
-            let counter = if end == StreamEnd::Broken {
-                &metrics.errored
-            } else {
-                &metrics.answered
+            let counter = match end {
+                StreamEnd::Broken | StreamEnd::TimedOut => &metrics.errored,
+                StreamEnd::Complete | StreamEnd::Abandoned => &metrics.answered,
             };
             counter.with_label_values(&[&*operation]).inc();
         }));
@@ -69,10 +68,11 @@
     /// Carries out a request as an invocation. Returns the response, or the rejection of an invalid request.
     pub(super) async fn invoke(
         &self,
-        connection: &ClientConnection,
+        connection: &Rc<ClientConnection>,
         request: Request<Incoming>,
     ) -> Result<ClientResponse, Rejection> {
         let (head, body) = request.into_parts();
+        connection.answer_limit.begin_request();
         let invocation_id = InvocationId(self.next_id.replace(self.next_id.get() + 1));
         let mut decoded = self.protocol.decode(invocation_id, &head)?;
         let body = self
@@ -86,6 +86,8 @@
         let wait = if streamed.is_some() {
             UPLOAD_TIMEOUT
         } else {
+            let answer_limit = decoded.answer_limit.map(|limit| received + limit);
+            connection.answer_limit.set(answer_limit);
             decoded.time_left
         };
         decoded.invocation.deadline = received + wait;
@@ -142,7 +144,7 @@
     /// Receives the body of a request: buffers a small body whole, and the beginning of a larger one.
     async fn receive_body(
         &self,
-        connection: &ClientConnection,
+        connection: &Rc<ClientConnection>,
         method: &Method,
         mut body: Incoming,
         decoded: &DecodedRequest,
@@ -189,7 +191,12 @@
         if is_whole {
             return Ok(RequestBody::Buffered(beginning));
         }
-        let streamed = self.streamed_body(beginning, body, length, self.report_completion(decoded));
+        let streamed = self.streamed_body(
+            beginning,
+            body,
+            length,
+            self.report_completion(connection, decoded),
+        );
         Ok(RequestBody::Streamed(streamed))
     }
 
@@ -211,15 +218,25 @@
         tokio::task::spawn_local(async move { body.drain().await });
     }
 
-    /// Returns a callback that reports to the dispatcher that the last byte of the body has arrived.
-    fn report_completion(&self, decoded: &DecodedRequest) -> impl FnOnce() + use<> {
+    /// Returns a callback for the arrival of the body's last byte: starts the limit of the answer, and reports the
+    /// deadline to the dispatcher.
+    fn report_completion(
+        &self,
+        connection: &Rc<ClientConnection>,
+        decoded: &DecodedRequest,
+    ) -> impl FnOnce() + use<> {
+        let connection = connection.clone();
         let invocation_id = decoded.invocation.id;
         let dispatcher = decoded.dispatcher.clone();
-        let (clock, time_left) = (self.clock, decoded.time_left);
+        let clock = self.clock;
+        let (time_left, answer_limit) = (decoded.time_left, decoded.answer_limit);
         move || {
+            let now = clock.now();
+            let answer_limit = answer_limit.map(|limit| now + limit);
+            connection.answer_limit.set(answer_limit);
             let message = ToDispatcher::BodyComplete {
                 invocation_id,
-                deadline: clock.now() + time_left,
+                deadline: now + time_left,
             };
             send_without_waiting(&dispatcher, message);
         }
--- a/crates/gateway/src/clients/services.rs
+++ b/crates/gateway/src/clients/services.rs
@@ -149,6 +149,7 @@
         self.enter(ConnectionState::WritingResponse, now);
         count(response);
         if let ResponseBody::Streamed(body) = response.body_mut() {
+            body.exceeds_limit = self.answer_limit.exceeded_mark();
             let count_end = body.on_end.take();
             let connection = self.clone();
             body.on_end = Some(Box::new(move |end| {
--- a/crates/gateway/src/platform_protocol.rs
+++ b/crates/gateway/src/platform_protocol.rs
@@ -154,6 +154,7 @@
             context: None,
             // The timeout of the operation limits the time that the client states.
             time_left: time_left.min(operation.integration_timeout),
+            answer_limit: None,
             headers: forwarded,
             dispatcher: self.dispatcher.clone(),
         })
--- a/crates/proxy/src/protocol.rs
+++ b/crates/proxy/src/protocol.rs
@@ -193,12 +193,14 @@
             mirror_rules,
             answer_recorders: vec![],
         };
+        let time_left = Duration::from_millis(head.deadline_ms.min(route.timeout_ms));
         Ok(DecodedRequest {
             invocation,
             repeatable: Repeatable::from_repeat_mode(repeatability(route.kind)),
             name: head.id.to_owned(),
             context: Some(Box::new(context) as Box<dyn Any>),
-            time_left: Duration::from_millis(head.deadline_ms.min(route.timeout_ms)),
+            time_left,
+            answer_limit: Some(time_left),
             headers: forwarded_headers(headers, tenant.map(|tenant| &**tenant)),
             dispatcher: events,
         })
--- a/crates/proxy/tests/data_plane/main.rs
+++ b/crates/proxy/tests/data_plane/main.rs
@@ -1,6 +1,7 @@
 //! The proxy's data plane between raw clients and scripted backends on loopback: matching of answers to
 //! requests, repeated attempts, and the handling of requests during a shutdown.
 
+mod answer_limit;
 mod begun_work;
 mod bodies;
 mod framing;
