--- a/crates/control/src/config/item.rs
+++ b/crates/control/src/config/item.rs
@@ -50,7 +50,7 @@
 pub struct ProposalNumber {
     /// The round; a proposer starts each round with a higher number than any that it has seen.
     pub round: u64,
-    /// The id of the proposer, followed by [`CALL_BITS`] bits with the number of a call within the round.
+    /// The id of the proposer, followed by 16 bits with the number of a call within the round.
     pub proposer: u64,
 }
 
