--- a/crates/config-store/src/consensus/event.rs
+++ b/crates/config-store/src/consensus/event.rs
@@ -103,7 +103,7 @@
     }
 }
 
-/// Formats items by name and version, at most [`MAX_ITEMS_NAMED`] of them.
+/// Formats items by name and version, at most eight of them.
 pub fn describe_items(items: &[Item]) -> String {
     let describe = |item: &Item| format!("{} r{}", item.key.name, item.version);
     let named: Vec<String> = items.iter().take(MAX_ITEMS_NAMED).map(describe).collect();
