Gateway: an upload that its backend takes no more of ends at its limit

Cause: until the last byte of a body the request had 600 s in place of its limit, and a server that takes nothing keeps that byte from coming. Nothing was read from the client meanwhile, so its leaving was not seen. Change: the time for which an upload waits for an attempt, or for a backend to take more, has the request's limit; what the client itself takes is not counted. At the limit the dispatcher treats the request as at its deadline, and an answer under way is cut off. While an upload is stalled, the client's socket is looked at every 0.2 s for a reset or an end.

--- a/crates/gateway/src/bodies/mod.rs
+++ b/crates/gateway/src/bodies/mod.rs
@@ -4,6 +4,7 @@
 //! response never reaches a client. A larger body is streamed from one socket to the other. Reading waits for writing,
 //! so the memory in use at a time is one chunk and the buffer of a socket.
 
+mod held_time;
 mod request;
 mod response;
 mod silence;
--- a/crates/gateway/src/bodies/request.rs
+++ b/crates/gateway/src/bodies/request.rs
@@ -15,6 +15,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::timeout;
 
+use super::held_time::HeldTime;
 use super::silence::SilenceTimer;
 use super::{CLIENT_SILENCE_TIMEOUT, Error};
 use crate::sizes::MAX_BODY;
@@ -60,6 +61,7 @@
     state: Cell<BodyState>,
     /// Bytes received so far, with the beginning.
     received: Cell<u64>,
+    held_time: HeldTime,
     /// Called once the last byte has been received.
     on_complete: RefCell<Option<Box<dyn FnOnce()>>>,
 }
@@ -81,6 +83,7 @@
             length,
             max_bytes,
             state: Cell::new(BodyState::Kept),
+            held_time: HeldTime::start(),
             on_complete: RefCell::new(Some(on_complete)),
         })
     }
@@ -90,6 +93,17 @@
         self.state.get() == BodyState::Whole
     }
 
+    /// Returns whether an attempt may still pass on more of the body.
+    pub fn is_under_way(&self) -> bool {
+        matches!(self.state.get(), BodyState::Kept | BodyState::PassedOn)
+    }
+
+    /// Returns for how long the body has waited for an attempt, or for a backend to take more of it. The time in which
+    /// the client had sent no more is not counted.
+    pub fn held_time(&self) -> Duration {
+        self.held_time.get()
+    }
+
     /// Returns whether the body passed the size limit.
     pub fn is_too_large(&self) -> bool {
         self.state.get() == BodyState::BrokenOff(BodyBreak::TooLarge)
@@ -133,6 +147,7 @@
     }
 
     fn complete(&self) {
+        self.held_time.taken();
         self.state.set(BodyState::Whole);
         if let Some(on_complete) = self.on_complete.borrow_mut().take() {
             on_complete();
@@ -162,7 +177,11 @@
         let Some(reader) = held.as_mut() else {
             return Poll::Ready(Some(Err("the attempt no longer reads the body".into())));
         };
-        let frame = ready!(Pin::new(&mut reader.0).poll_frame(cx));
+        let Poll::Ready(frame) = Pin::new(&mut reader.0).poll_frame(cx) else {
+            self.body.held_time.taken();
+            return Poll::Pending;
+        };
+        self.body.held_time.received();
         if let Some(Err(error)) = frame {
             // A broken stream reads as ended from now on, so nothing may read it again.
             *held = None;
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -4,6 +4,7 @@
 mod connection;
 mod invocation;
 mod services;
+mod upload_limit;
 
 use std::any::Any;
 use std::cell::{Cell, RefCell};
@@ -29,7 +30,8 @@
 
 use self::answer_limit::AnswerLimit;
 use self::connection::{
-    ClientConnection, ConnectionState, DeadlineTimer, ObservedSocket, has_unread_input,
+    ClientConnection, ConnectionState, DeadlineTimer, DepartureCheck, ObservedSocket,
+    has_unread_input,
 };
 use self::services::{InvocationService, PhaseService};
 use crate::attempts::Repeatable;
@@ -289,6 +291,7 @@
             response_complete: Cell::new(false),
             request_body_unread: Cell::new(false),
             answer_limit: AnswerLimit::default(),
+            upload: RefCell::default(),
             timeouts: self.timeouts.clone(),
         });
         self.connections.borrow_mut().insert(id, connection.clone());
@@ -326,6 +329,7 @@
             .serve_connection(TokioIo::new(observed), service);
         let mut serving = pin!(serving);
         let mut timer = DeadlineTimer::new(&connection, clock);
+        let mut departure = DepartureCheck::default();
         let mut close = pin!(connection.close.notified());
         let mut limit_changed = pin!(connection.answer_limit.changed.notified());
         let mut is_closing = false;
@@ -350,7 +354,8 @@
             // The connection is dropped with its unfinished request; a head that never ends would otherwise keep the
             // connection open for ever.
             let timed_out = timer.poll(&connection, cx).is_ready();
-            if timed_out || connection.close_now.get() {
+            let has_left = departure.poll(&connection, cx).is_ready();
+            if timed_out || has_left || connection.close_now.get() {
                 Poll::Ready(None)
             } else {
                 Poll::Pending
--- a/crates/gateway/src/clients/connection.rs
+++ b/crates/gateway/src/clients/connection.rs
@@ -4,20 +4,20 @@
 use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
-use std::pin::Pin;
-use std::rc::Rc;
+use std::pin::{Pin, pin};
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{Sleep, sleep_until};
+use tokio::time::{Sleep, sleep, sleep_until};
 
 use super::ClientTimeouts;
 use super::answer_limit::AnswerLimit;
-use crate::bodies::CLIENT_SILENCE_TIMEOUT;
+use crate::bodies::{CLIENT_SILENCE_TIMEOUT, StreamedBody};
 use crate::clock::Clock;
 use crate::log::log;
 use crate::request_heads::HeadScanner;
@@ -31,6 +31,9 @@
 /// a second frees space in a socket buffer of several megabytes only about every ten seconds.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Interval of the checks whether the client of an upload has left.
+const DEPARTURE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// State of a client connection.
 #[derive(Clone, Copy, PartialEq)]
 pub(super) enum ConnectionState {
@@ -69,6 +72,8 @@
     pub(super) response_complete: Cell<bool>,
     /// Whether the request body was not read to its end, so that the connection is closed after the response.
     pub(super) request_body_unread: Cell<bool>,
+    /// The request body that is being received, if it is streamed.
+    pub(super) upload: RefCell<Weak<StreamedBody>>,
     /// The limit of the answer to the current request.
     pub(super) answer_limit: AnswerLimit,
     pub(super) timeouts: Rc<Cell<ClientTimeouts>>,
@@ -188,6 +193,55 @@
     }
 }
 
+impl ClientConnection {
+    /// Returns whether a streamed request body is still being received and not answered yet, so that the end of the
+    /// client's input breaks it off.
+    fn has_upload_under_way(&self) -> bool {
+        let upload = self.upload.borrow().upgrade();
+        let is_under_way = upload.is_some_and(|body| body.is_under_way());
+        is_under_way && self.state.get() == ConnectionState::AwaitingResponse
+    }
+
+    /// Returns whether the client has ended its input, also behind data that is not read yet.
+    fn is_input_ended(&self, cx: &mut Context) -> bool {
+        let socket = self.socket.borrow();
+        let mut readiness = pin!(socket.ready(Interest::READABLE));
+        match readiness.as_mut().poll(cx) {
+            Poll::Ready(Ok(ready)) => ready.is_read_closed(),
+            Poll::Ready(Err(_)) => true,
+            Poll::Pending => false,
+        }
+    }
+}
+
+/// Periodic check whether the client of an upload has left. While a backend takes no more of the body, the gateway reads
+/// nothing from the client and does not see the end of its input otherwise.
+#[derive(Default)]
+pub(super) struct DepartureCheck {
+    /// `None` while no upload is under way.
+    next: Option<Pin<Box<Sleep>>>,
+}
+
+impl DepartureCheck {
+    /// Returns ready once the client has left in the middle of its upload.
+    pub(super) fn poll(&mut self, connection: &ClientConnection, cx: &mut Context) -> Poll<()> {
+        if !connection.has_upload_under_way() {
+            self.next = None;
+            return Poll::Pending;
+        }
+        let next = self
+            .next
+            .get_or_insert_with(|| Box::pin(sleep(DEPARTURE_CHECK_INTERVAL)));
+        while next.as_mut().poll(cx).is_ready() {
+            if connection.is_input_ended(cx) {
+                return Poll::Ready(());
+            }
+            *next = Box::pin(sleep(DEPARTURE_CHECK_INTERVAL));
+        }
+        Poll::Pending
+    }
+}
+
 /// Socket of a client that updates the state of its connection on reads and writes.
 pub(super) struct ObservedSocket {
     pub(super) socket: Rc<RefCell<TcpStream>>,
--- a/crates/gateway/src/clients/invocation.rs
+++ b/crates/gateway/src/clients/invocation.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::connection::{ClientConnection, ConnectionState};
+use super::upload_limit::UploadLimit;
 use super::{ClientResponse, Clients, DecodedRequest, Rejection, empty_rejection};
 use crate::attempts::NoneExecuted;
 use crate::bodies::{self, RequestBody, ResponseBody, StreamEnd, StreamedBody};
@@ -197,9 +198,32 @@
             length,
             self.report_completion(connection, decoded),
         );
+        self.watch_upload(connection, &streamed, decoded);
         Ok(RequestBody::Streamed(streamed))
     }
 
+    /// Starts the checks of an upload: whether it is held up for too long, and whether its client has left.
+    fn watch_upload(
+        &self,
+        connection: &Rc<ClientConnection>,
+        body: &Rc<StreamedBody>,
+        decoded: &DecodedRequest,
+    ) {
+        let Some(limit) = decoded.answer_limit else {
+            return;
+        };
+        connection.upload.replace(Rc::downgrade(body));
+        let upload_limit = UploadLimit {
+            body: Rc::downgrade(body),
+            connection: Rc::downgrade(connection),
+            limit,
+            invocation_id: decoded.invocation.id,
+            dispatcher: decoded.dispatcher.clone(),
+            clock: self.clock,
+        };
+        tokio::task::spawn_local(upload_limit.watch());
+    }
+
     fn streamed_body(
         &self,
         beginning: Bytes,
@@ -225,7 +249,8 @@
         connection: &Rc<ClientConnection>,
         decoded: &DecodedRequest,
     ) -> impl FnOnce() + use<> {
-        let connection = connection.clone();
+        // Not kept open by a body that outlives it.
+        let connection = Rc::downgrade(connection);
         let invocation_id = decoded.invocation.id;
         let dispatcher = decoded.dispatcher.clone();
         let clock = self.clock;
@@ -233,7 +258,9 @@
         move || {
             let now = clock.now();
             let answer_limit = answer_limit.map(|limit| now + limit);
-            connection.answer_limit.set(answer_limit);
+            if let Some(connection) = connection.upgrade() {
+                connection.answer_limit.set(answer_limit);
+            }
             let message = ToDispatcher::BodyComplete {
                 invocation_id,
                 deadline: now + time_left,
@@ -244,7 +271,7 @@
 }
 
 /// Sends a message without waiting; if the mailbox is full, a separate task sends it.
-fn send_without_waiting(dispatcher: &mpsc::Sender<ToDispatcher>, message: ToDispatcher) {
+pub(super) fn send_without_waiting(dispatcher: &mpsc::Sender<ToDispatcher>, message: ToDispatcher) {
     if let Err(mpsc::error::TrySendError::Full(message)) = dispatcher.try_send(message) {
         let dispatcher = dispatcher.clone();
         tokio::task::spawn_local(async move { dispatcher.send(message).await.ok() });
--- a/crates/gateway/src/dispatcher/mod.rs
+++ b/crates/gateway/src/dispatcher/mod.rs
@@ -30,6 +30,7 @@
 use crate::account::Account;
 use crate::attempts::Attempts;
 use crate::clock::Clock;
+use crate::log::log;
 use crate::messages::{
     Answer, BackendHandle, BackendResponse, CancelHandle, ForwardedRequest, PeerDatagram,
     ToCounter, ToDispatcher, ToListWatcher,
@@ -220,6 +221,7 @@
                 invocation_id,
                 deadline,
             } => self.body_complete(invocation_id, deadline),
+            ToDispatcher::UploadTimedOut { invocation_id } => self.upload_timed_out(invocation_id),
             ToDispatcher::BodyConsumed { invocation_id } => {
                 if self.state.requests.contains_key(&invocation_id) {
                     self.handle_event(Event::BodyConsumed { invocation_id });
@@ -293,6 +295,26 @@
     /// request's attempts at the present time.
     fn body_complete(&mut self, invocation_id: InvocationId, deadline: Duration) {
         let now = self.clock.now();
+        let Some(request) = self.state.requests.get_mut(&invocation_id) else {
+            return;
+        };
+        for attempt in request.in_flight.iter_mut().flatten() {
+            attempt.sent = now;
+        }
+        self.set_deadline(invocation_id, deadline);
+    }
+
+    /// Ends the wait for a body that was held up for too long: the request's deadline is now.
+    fn upload_timed_out(&mut self, invocation_id: InvocationId) {
+        let request = self.state.requests.get(&invocation_id);
+        if request.is_some_and(|request| request.timeout_after_body.is_some()) {
+            log!(info, "upload-timeout", "invocation {}", invocation_id.0);
+            self.set_deadline(invocation_id, self.clock.now());
+        }
+    }
+
+    /// Sets the deadline of a request whose body was pending, and that of its attempts.
+    fn set_deadline(&mut self, invocation_id: InvocationId, deadline: Duration) {
         let Some(request) = self.state.requests.get_mut(&invocation_id) else {
             return;
         };
@@ -305,7 +327,6 @@
             let number = AttemptNumber(number as u32);
             let timers = &mut self.state.timers;
             timers.remove(&(attempt.until, Timer::AttemptTimeout(invocation_id, number)));
-            attempt.sent = now;
             attempt.until = deadline;
             timers.insert((deadline, Timer::AttemptTimeout(invocation_id, number)));
         }
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -43,6 +43,11 @@
         /// When the client stops waiting, as Unix time.
         deadline: Duration,
     },
+    /// The gateway and its backends have held a body up for as long as the request may take: it is not awaited any more.
+    UploadTimedOut {
+        /// The invocation.
+        invocation_id: InvocationId,
+    },
     /// Part of a body was sent and not kept: no further attempt can send it.
     BodyConsumed {
         /// The invocation.
--- a/crates/proxy/tests/data_plane/main.rs
+++ b/crates/proxy/tests/data_plane/main.rs
@@ -7,6 +7,7 @@
 mod framing;
 mod logs;
 mod support;
+mod upload_limit;
 
 use std::time::Duration;
 
